--- a/petrellane/interface.py
+++ b/petrellane/interface.py
@@ -114,12 +114,13 @@
 
 @dataclass(eq=False, slots=True)
 class Add:
-    """Add an amount to a named count and tell the total; `lease` is the module's own."""
+    """Add an amount to a named count and tell the total; `lease` and what follows are the module's own."""
     name: int
     amount: float
     ttl: float
     lease: object = None
     window: int = 0
+    debt: float = 0.0
     settled: bool = False
 
 
