--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -30,7 +30,7 @@
 PATIENCE = 4.0        # a call-out is overdue at this multiple of its method's typical time
 TRIAL = 0.1           # share of idempotent RPCs that try a host that is out of favour
 MEMORY = 10.0         # seconds for which a host's samples speak for it
-PRESSED = 0.25        # hosts are pressed when a call-out is expected to take this share of its soft deadline
+PRESSED = 0.2         # hosts are pressed when a call-out is expected to take this share of its soft deadline
 BEHIND = 0.6          # and a host that far behind gets nothing more
 MOST = 0.9            # share of RPCs pushed back under the highest pressure: the rest shows when it ends
 PRIOR = [0.1, 0.1]    # shares of the soft deadline that speak for hosts of which little is known
@@ -343,7 +343,7 @@
             return True
         recent = health.recent(method, now)
         bad = sum(sample[2] not in (OK, FULL) for sample in recent)
-        return bool(recent) and (bad * 2 > len(recent) or recent[-1][2] == UNREACHABLE)
+        return bool(recent) and (bad * 2 > len(recent) + 1 or recent[-1][2] == UNREACHABLE)
 
     def warmth(self, host, now):    # the share of its capacity that a host is sure to have by now
         share = max(0.0, now - host.up_since) / self.cold if host.up_since and self.cold else 1.0
