--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -413,7 +413,7 @@
     def pressure(self, now):
         """How pressed the hosts are, by the last call-outs wherever they went, as we may hear little of
         each host: 0 at ease, 1 when one takes all its soft deadline."""
-        lately = [sample for sample in self.lately if now - sample[0] <= MEMORY / 2]
+        lately = [sample for sample in self.lately if now - sample[0] <= MEMORY]
         return min(MOST, max(0.0, (self.lag(lately, self.out, now) - PRESSED) / (1 - PRESSED)))
 
 
