--- a/tests/runner.py
+++ b/tests/runner.py
@@ -106,7 +106,7 @@
                 self.do_count("ok")
             rpc = self.rpcs[f"flood{index}"]
             if "serve" in given and rpc.call_outs:
-                self.end(rpc, api.OK, given["serve"])
+                self.end(rpc, given.get("as", api.OK), given["serve"])
             self.do_wait(str(given.get("every", 0)))
 
     def do_wait(self, length):
@@ -170,6 +170,8 @@
             number = sum(step.amount for name, _, step in self.said if name == "Add")
         elif kind.startswith("on:"):
             number = sum(name == "CallOut" and step.host.address == kind[3:] for name, _, step in self.said)
+        elif kind == "hosts":
+            number = len({step.host for name, _, step in self.said if name == "CallOut"})
         elif kind == "units":
             number = sum(rpc.units for name, rpc, step in self.said if name == "CallOut" and step.number == 0)
         else:
