--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -27,7 +27,8 @@
 IN_USE = 12           # hosts that a gateway uses at least
 KNOWN = 4             # and as many more as its own call-outs can give so many samples while they speak
 EXCHANGE = 5.0        # seconds after which one of the hosts in use is exchanged, when not all are
-PATIENCE = 4.0        # a call-out is overdue at this multiple of its method's typical time
+PATIENCE = 8.0        # a call-out is overdue at this multiple of its method's typical time
+LATEST = 0.75         # or at this share of its soft deadline, if that comes sooner
 TRIAL = 0.1           # share of idempotent RPCs that try a host that is out of favour
 MEMORY = 10.0         # seconds for which a host's samples speak for it
 PRESSED = 0.2         # hosts are pressed when a call-out is expected to take this share of its soft deadline
@@ -331,11 +332,12 @@
         return mean(self.tooks.get(method, ()), method.soft_deadline / 8)
 
     def overdue(self, call_out, now):
-        """Whether a call-out is out for longer than usual, its method unanswered by that host since."""
+        """Whether a call-out is out for so long, its method unanswered by that host since, that the host is
+        likely to be silent. Sooner hurts: an RPC of much work is as long anywhere, and the first run is waste."""
         method, health = call_out.rpc.method, self.hosts.get(call_out.host)
-        patience = min(PATIENCE * self.typical(method), method.soft_deadline / 2)
-        return now - call_out.sent > patience and (
-            health is None or health.heard.get(method, -math.inf) <= call_out.sent)
+        heard = health.heard.get(method, -math.inf) if health else -math.inf
+        patience = min(PATIENCE * self.typical(method), LATEST * method.soft_deadline)
+        return now - call_out.sent > patience and heard <= call_out.sent
 
     def poor(self, health, method, now):
         """Out of favour: silent, unreachable, or failing much of what it takes of this method."""
