--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -135,8 +135,7 @@
         self.ask_deadline, self.random, self.settle = ask_deadline, rng.random, settle
         self.look_at = -math.inf if counter else math.inf    # when a silent counter may be asked again
         self.leases, self.most = {}, 100
-        self.silent, self.born = not counter, math.inf
-        self.asks = deque(maxlen=32)    # (at, whether it was answered in time)
+        self.silent, self.born, self.asks = not counter, math.inf, deque(maxlen=32)    # (at, in time)
 
     def of(self, customer, now):    # the customer's lease, brought into the running window
         lease = self.leases.get(customer)
@@ -332,8 +331,8 @@
         return mean(self.tooks.get(method, ()), method.soft_deadline / 8)
 
     def overdue(self, call_out, now):
-        """Whether a call-out is out for so long, its method unanswered by that host since, that the host is
-        likely to be silent. Sooner hurts: an RPC of much work is as long anywhere, and the first run is waste."""
+        """Whether a call-out is out for so long, its method unanswered there since, that the host must be
+        silent. Sooner hurts: an RPC of much work is as long anywhere, and the first run is waste."""
         method, health = call_out.rpc.method, self.hosts.get(call_out.host)
         heard = health.heard.get(method, -math.inf) if health else -math.inf
         patience = min(PATIENCE * self.typical(method), LATEST * method.soft_deadline)
@@ -475,7 +474,7 @@
         self.fleet.sent(call_out, now)
         self.leases.of(rpc.customer, now).out += 1
         looking, self.looking = self.looking, True
-        return [call_out] if looking else [call_out, Wake(TICK, self.fleet)]
+        return [call_out] + [Wake(TICK, self.fleet)] * (not looking)
 
     def again(self, now, call_out, outcome, *, over, took=0.0, usage=0, units=0.0, report=None):
         """Whether to go again after a call-out ended."""
