--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -94,9 +94,6 @@
             self.single_at = now + units / (self.even * self.customer.plan.rate)
         self.held, self.got, self.owed = self.held + extra, self.got + extra, self.owed + extra
 
-    def name(self, window):    # a window's count, the same at every gateway and every start
-        return stable(f"{self.customer.name} {window}")
-
     def limit(self, now, carry):
         """The allowance; past it a customer may go on as its plan's store allows: with what the window before
         left (the carry) and what has been filled in since this one began."""
@@ -177,7 +174,8 @@
 
     def post(self, lease, window, amount, debt=0.0):
         """One ask, which our own deadline bounds; an amount of 0 only reads."""
-        lease.ask = Add(lease.name(window), amount, min(60.0, 4 * lease.length), lease, lease.window, debt)
+        name = stable(f"{lease.customer.name} {window}")    # the same at every gateway and every start
+        lease.ask = Add(name, amount, min(60.0, 4 * lease.length), lease, lease.window, debt)
         return [lease.ask, Wake(self.ask_deadline, lease.ask)]
 
     def fail(self, now, ask):
@@ -310,15 +308,17 @@
             host.share, host.up_since = row.share or 1.0, row.up_since
             if host.state == GONE:
                 self.hosts.pop(host, None)
-            else:
-                self.hosts.setdefault(host, Health())
+            elif host not in self.hosts:    # as likely in use as any other: a zone that is back is needed
+                self.hosts[host] = Health()
+                if self.random() * len(self.hosts) < len(self.used):
+                    self.used[int(self.random() * len(self.used))] = (host, self.hosts[host])
 
     def in_use(self, now):
         """The hosts drawn for use: as many as our own call-outs can keep known, one exchanged at times."""
         ready = [pair for pair in self.hosts.items() if pair[0].state == READY]
         rate = len(self.lately) / max(1.0, now - self.lately[0][0]) if self.lately else 0.0
         want = min(len(ready), max(IN_USE, round(rate * MEMORY / KNOWN)))
-        used = [pair for pair in self.used if pair[0].state == READY and pair[0] in self.hosts]
+        used = [pair for pair in self.used if pair[0].state == READY and self.hosts.get(pair[0]) is pair[1]]
         if len(used) > want or want < len(ready) and now - self.exchanged >= EXCHANGE and used:
             used.remove(self.choice(used))
             self.exchanged = now
@@ -354,8 +354,8 @@
         """The room a host is thought to have, in no unit but its own."""
         recent = health.recent(method, now)
         fine = (sum(sample[2] == OK for sample in recent) + 2) / (len(recent) + 2)
-        local = self.local_odds if host.zone == self.zone else 1.0
         load = 1 + len(health.out) / host.share / usual
+        local = self.local_odds if host.zone == self.zone else 1.0
         return local * host.share * (fine / self.behind(health, now) / load) ** 2
 
     def draw(self, now, rpc, among):
@@ -548,7 +548,6 @@
                 steps.append(Cancel(call_out))
         before, self.pressure = self.pressure, self.fleet.pressure(now)
         if (self.pressure > 0) != (before > 0):
-            mode = "pressed" if self.pressure else "at ease"
-            steps.append(Log(f"hosts {mode}: pressure {before:.2f} to {self.pressure:.2f}"))
+            steps += [Log(f"hosts {'at ease' if before else 'pressed'}: {before:.2f} to {self.pressure:.2f}")]
         self.looking = bool(self.fleet.out or self.pressure)
         return steps + [Wake(TICK, self.fleet)] * self.looking
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -169,7 +169,7 @@
         if kind == "asked":
             number = sum(step.amount for name, _, step in self.said if name == "Add")
         elif kind.startswith("on:"):
-            number = sum(name == "CallOut" and step.host.address == kind[3:] for name, _, step in self.said)
+            number = sum(name == "CallOut" and step.host.address in kind[3:].split(",") for name, _, step in self.said)
         elif kind == "hosts":
             number = len({step.host for name, _, step in self.said if name == "CallOut"})
         elif kind == "units":
