--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -32,7 +32,7 @@
 TRIAL = 0.1           # share of idempotent RPCs that try a host that is out of favour
 MEMORY = 10.0         # seconds for which a host's samples speak for it
 PRESSED = 0.2         # hosts are pressed when a call-out is expected to take this share of its soft deadline
-BEHIND = 0.6          # and a host that far behind gets nothing more
+BEHIND = 0.6          # pressure is full there, and a host that far behind gets nothing more
 MOST = 0.9            # share of RPCs pushed back under the highest pressure: the rest shows when it ends
 PRIOR = [0.1, 0.1]    # shares of the soft deadline that speak for hosts of which little is known
 LOCAL = 3.0           # odds of a host in our own zone, where crossing has a price
@@ -389,10 +389,10 @@
         method, health = call_out.rpc.method, self.hosts.get(call_out.host, Health())
         beside, all_out = health.out.pop(call_out, 0), self.out.pop(call_out, 0)
         silent, part = outcome in (CANCELLED, LATE), took / (method.soft_deadline or 1.0)
-        part = max(1.0, part) if silent or outcome == FULL else part    # cut short: no less than all
+        part = 1.0 if silent or outcome == FULL else part    # cut short: no less than all
         if outcome == OK:
             self.tooks.setdefault(method, deque(maxlen=64)).append(took)
-        if not silent or not any(at > call_out.sent for at in health.heard.values()):
+        if outcome in (OK, FULL) or silent and not any(at > call_out.sent for at in health.heard.values()):
             self.lately.append((now, part, all_out))    # else the host serves others: it is sick, not behind
         if outcome in (OK, ERROR, FULL):
             health.heard[method] = now
@@ -413,9 +413,11 @@
 
     def pressure(self, now):
         """How pressed the hosts are, by the last call-outs wherever they went, as we may hear little of
-        each host: 0 at ease, 1 when one takes all its soft deadline."""
+        each host: 0 at ease, full where a host would rest."""
         lately = [sample for sample in self.lately if now - sample[0] <= MEMORY]
-        return min(MOST, max(0.0, (self.lag(lately, self.out, now) - PRESSED) / (1 - PRESSED)))
+        out = [call_out for call_out in self.out if not self.overdue(call_out, now)]    # silent is not behind
+        lag = max(self.lag(lately, out, now), self.lag(lately[-16:], out, now))    # sooner up than down
+        return min(MOST, max(0.0, (lag - PRESSED) / (BEHIND - PRESSED)))
 
 
 class Gateway:
@@ -457,12 +459,11 @@
     def settle(self, now, rpc, may_go):
         """Send an RPC whose credit is decided, or push it back at once."""
         lease = self.leases.of(rpc.customer, now)
-        if may_go:
-            if steps := self.send(now, rpc, lambda host: True):
-                lease.ceiling -= rpc.units
-                self.firsts.append(0)
-                return steps
-            lease.held += rpc.units
+        if may_go and (steps := self.send(now, rpc, lambda host: True)):
+            lease.ceiling -= rpc.units
+            self.firsts.append(0)
+            return steps
+        lease.held += rpc.units if may_go else 0.0
         return [PushBack(self.end(rpc), max(0.0, min(self.max_wait, lease.ends - now)))]
 
     def send(self, now, rpc, among):    # one call-out to a drawn host; no steps when no host may take it
@@ -486,13 +487,12 @@
         if rpc.ended:
             return []
         group = self.group(now, rpc)
-        useful = math.inf if method.late_utility else rpc.arrived + method.soft_deadline
+        useful = rpc.deadline if method.late_utility else rpc.arrived + method.soft_deadline
         in_time = now + self.fleet.typical(method) < min(rpc.deadline, useful)
-        if group and self.budget() and in_time and len(rpc.call_outs) < self.max_call_outs:
-            if steps := self.send(now, rpc, group):
-                self.firsts.append(1)
-                return steps
-        return [self.give_up(now, rpc)]
+        may = group and self.budget() and in_time and len(rpc.call_outs) < self.max_call_outs
+        steps = self.send(now, rpc, group) if may else []
+        self.firsts += [1] * bool(steps)
+        return steps or [self.give_up(now, rpc)]
 
     def budget(self):    # guards hosts against further call-outs that add to a jam, however few each sends
         return sum(self.firsts) < GO_AGAIN * len(self.firsts)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -34,11 +34,12 @@
 
     def play(self, path):
         for number, line in enumerate(path.read_text().splitlines(), 1):
-            verb, *words = line.split("#")[0].split() or [""]
-            try:
-                getattr(self, "do_" + verb)(*words) if verb else None
-            except (AssertionError, LookupError) as error:
-                raise AssertionError(f"{path.name}:{number}: {line.strip()}: {error}") from None
+            for step in line.split("#")[0].split(";"):
+                verb, *words = step.split() or [""]
+                try:
+                    getattr(self, "do_" + verb)(*words) if verb else None
+                except (AssertionError, LookupError) as error:
+                    raise AssertionError(f"{path.name}:{number}: {step.strip()}: {error}") from None
 
     def take(self, steps):
         for step in steps:
