--- a/petrellane/benchlink/door.py
+++ b/petrellane/benchlink/door.py
@@ -5,10 +5,10 @@
 from collections import defaultdict, deque
 from weakref import WeakValueDictionary
 
+from petrellane import config
 from petrellane import interface as api
 from petrellane.choice import Gateway
 
-EFFECTS = {"pure": api.IDEMPOTENT, "token": api.DEDUPLICATED, "side_effect": api.NON_IDEMPOTENT}
 OUTCOMES = {"GOOD": api.OK, "BAD": api.ERROR, "LATE": api.LATE, "RST": api.RESET, "CXL": api.CANCELLED,
             "FULL": api.FULL, "NOCONN": api.UNREACHABLE, "NOP": api.NEVER_SENT}
 STATES = {"0": api.GONE, "1": api.READY, "2": api.DRAINING}
@@ -27,50 +27,19 @@
     return int(round(value * 1e6))
 
 
-def method_of(row):
-    """A method from its settings."""
-    return api.Method(
-        name=row.get("name", ""),
-        soft_deadline=seconds(row.get("goalTime")), deadline=seconds(row.get("giveUp")),
-        effect=EFFECTS.get(row.get("effect"), api.NON_IDEMPOTENT), key_scope=row.get("keyScope", ""),
-        key_window=seconds(row.get("window")), utility=row.get("worth", 0.0),
-        late_utility=row.get("lateWorth", 0.0), streamed=bool(row.get("streamed")))
-
-
-def plan_of(row):
-    """A plan from its settings."""
-    return api.Plan(
-        name=row.get("name", ""), rate=row.get("quotaRate", 0.0), store=row.get("storeSize", 0.0),
-        ceiling_rate=row.get("ceilingRate", 0.0), ceiling_burst=row.get("ceilingBurst", 0.0),
-        ceiling_slack=row.get("ceilingSlack", 0.0), max_out=int(row.get("maxOut", 0)),
-        price=row.get("pays", 0.0),
-        over_utility=row.get("extraWorth", 0.0), over_cost=row.get("overrunCost", 0.0))
-
-
 class Door:
     """An instance: turns events into calls of its gateway, and what these return into actions."""
 
     def __init__(self, number, seed, settings):
-        told = json.loads(settings)
-        family, limits = told.get("familyInfo", {}), told.get("limits", {})
-        rules, report = told.get("obligations", {}), told.get("report", {})
+        told = config.settings(config.Section(json.loads(settings), "settings"))
         self.number = number
-        self.methods = {row.get("name", ""): method_of(row) for row in told.get("classes", [])}
-        self.plans = {row.get("name", ""): plan_of(row) for row in told.get("contracts", [])}
-        self.report_fields = report.get("fields", [])
+        self.methods, self.plans, self.report_fields = told.methods, told.plans, told.report_fields
         self.hosts, self.rpcs, self.handles = {}, {}, {}
         self.customers = WeakValueDictionary()
         self.closing = []    # RPCs that may be let go of once the event's lines are made
         self.adds = defaultdict(deque)
         self.wakes, self.nonce = {}, 0
-        self.gateway = Gateway(
-            seed=seed, zone=told.get("locality", ""), counter=bool(family.get("mayCount")),
-            counter_timeout=seconds(family.get("counterTimeout")), max_call_outs=limits.get("maxAttempts", 1),
-            may_cancel=bool(limits.get("mayCancel")),
-            max_wait=seconds(limits.get("maxRetryAfter")) if limits.get("retryAfter") else 0.0,
-            cold=seconds(rules.get("cold")), cold_from=rules.get("coldFrom", 1.0),
-            overload_for=seconds(rules.get("overloadFor")),
-            cross_zone=told.get("prices", {}).get("crossZone", 0.0), must_ask=told.get("discovery") == "ask")
+        self.gateway = Gateway(seed=seed, **told.gateway)
 
     def start(self, now):
         """The instance's first actions."""
--- /dev/null
+++ b/petrellane/config.py
@@ -0,0 +1,225 @@
+"""The one place where configuration is read, checked and given defaults.
+
+The PROXY_* variables say where to listen and where the rest of the configuration is: a JSON file with the limits, the
+counter's address, the last host list and the settings. Whatever is missing or wrong raises a ConfigError whose one
+line names the key and what was expected. Unknown keys are passed over. Times of the settings are microseconds there
+and seconds here.
+"""
+
+import json
+import math
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from petrellane import interface as api
+
+EFFECTS = {"pure": api.IDEMPOTENT, "token": api.DEDUPLICATED, "side_effect": api.NON_IDEMPOTENT}
+STATES = {"in_service": api.READY, "terminating": api.DRAINING, "terminated": api.GONE}
+REQUIRED = object()
+
+
+class ConfigError(Exception):
+    """A key that is missing or wrong; the text is one line that names it."""
+
+
+class Section:
+    """One JSON object under its path, read key by key."""
+
+    def __init__(self, value, path=""):
+        self.value, self.path = value, path
+        if not isinstance(value, dict):
+            raise ConfigError(f"{path or 'configuration'}: expected an object, found {brief(value)}")
+
+    def get(self, key, kinds, expected, default=REQUIRED):
+        path = f"{self.path}.{key}" if self.path else key
+        value = self.value.get(key)
+        if value is None:
+            if default is REQUIRED:
+                raise ConfigError(f"{path}: missing, expected {expected}")
+            return default
+        if not isinstance(value, kinds) or isinstance(value, bool) and bool not in kinds:
+            raise ConfigError(f"{path}: expected {expected}, found {brief(value)}")
+        return value
+
+    def text(self, key, default=REQUIRED):
+        return self.get(key, (str,), "text", default)
+
+    def flag(self, key, default=False):
+        return bool(self.get(key, (bool, int), "true or false", default))
+
+    def number(self, key, default=REQUIRED, least=0.0):
+        value = self.get(key, (int, float), f"a number from {least:g}", default)
+        if value is not default and not (math.isfinite(value) and value >= least):
+            raise ConfigError(f"{self.path}.{key}".lstrip(".") + f": expected a number from {least:g}, found {value}")
+        return value
+
+    def whole(self, key, default=REQUIRED, least=0):
+        value = self.number(key, default, least)
+        if value is not default and value != int(value):
+            raise ConfigError(f"{self.path}.{key}".lstrip(".") + f": expected a whole number, found {value}")
+        return int(value)
+
+    def seconds(self, key, default=0):
+        return self.number(key, default) / 1e6
+
+    def section(self, key, default=REQUIRED):
+        value = self.get(key, (dict,), "an object", default)
+        return Section(value, f"{self.path}.{key}".lstrip("."))
+
+    def sections(self, key, default=REQUIRED):
+        path = f"{self.path}.{key}".lstrip(".")
+        rows = self.get(key, (list,), "a list of objects", default)
+        return [Section(row, f"{path}[{at}]") for at, row in enumerate(rows)]
+
+    def address(self, key):
+        return address(self.text(key), f"{self.path}.{key}".lstrip("."))
+
+
+def brief(value):
+    text = json.dumps(value, default=str)
+    return text if len(text) <= 40 else text[:37] + "..."
+
+
+def address(text, key):
+    """HOST:PORT as a pair."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{key}: expected HOST:PORT, found {brief(text)}")
+    return host, int(port)
+
+
+@dataclass(frozen=True)
+class Settings:
+    """The settings object: the module's own part of it ready to hand over, and what the network needs."""
+    methods: dict
+    plans: dict
+    gateway: dict
+    report_fields: list
+    may_count: bool
+    counter_timeout: float
+    dial_timeout: float
+    conn_idle: float
+    streams: int
+
+
+def settings(told):
+    """The settings object, checked; the simulator's wire and the configuration file give the same one."""
+    family, limits = told.section("familyInfo", {}), told.section("limits", {})
+    rules, report = told.section("obligations", {}), told.section("report", {})
+    methods = [method(row) for row in told.sections("classes")]
+    plans = [plan(row) for row in told.sections("contracts")]
+    may_count, counter_timeout = family.flag("mayCount"), family.seconds("counterTimeout")
+    return Settings(
+        methods={row.name: row for row in methods}, plans={row.name: row for row in plans},
+        report_fields=report.get("fields", (list,), "a list of names", []),
+        may_count=may_count, counter_timeout=counter_timeout,
+        dial_timeout=limits.seconds("dialTimeout", 1_000_000), conn_idle=limits.seconds("connIdle", 30_000_000),
+        streams=limits.whole("streamsPerConn", 1, 1),
+        gateway=dict(
+            zone=told.text("locality", ""), counter=may_count, counter_timeout=counter_timeout,
+            max_call_outs=limits.whole("maxAttempts", 1, 1), may_cancel=limits.flag("mayCancel"),
+            max_wait=limits.seconds("maxRetryAfter") if limits.flag("retryAfter") else 0.0,
+            cold=rules.seconds("cold"), cold_from=rules.number("coldFrom", 1.0),
+            overload_for=rules.seconds("overloadFor"),
+            cross_zone=told.section("prices", {}).number("crossZone", 0.0),
+            must_ask=told.text("discovery", "push") == "ask"))
+
+
+def method(row):
+    effect = row.text("effect")
+    if effect not in EFFECTS:
+        raise ConfigError(f"{row.path}.effect: expected one of {', '.join(EFFECTS)}, found {brief(effect)}")
+    return api.Method(
+        name=row.text("name"), effect=EFFECTS[effect],
+        soft_deadline=row.seconds("goalTime", REQUIRED), deadline=row.seconds("giveUp", REQUIRED),
+        key_scope=row.text("keyScope", ""), key_window=row.seconds("window"),
+        utility=row.number("worth", 0.0), late_utility=row.number("lateWorth", 0.0), streamed=row.flag("streamed"))
+
+
+def plan(row):
+    return api.Plan(
+        name=row.text("name"), rate=row.number("quotaRate", 0.0), store=row.number("storeSize", 0.0),
+        ceiling_rate=row.number("ceilingRate", 0.0), ceiling_burst=row.number("ceilingBurst", 0.0),
+        ceiling_slack=row.number("ceilingSlack", 0.0), max_out=row.whole("maxOut", 0), price=row.number("pays", 0.0),
+        over_utility=row.number("extraWorth", 0.0), over_cost=row.number("overrunCost", 0.0))
+
+
+class Entry(NamedTuple):
+    """One host as a host list tells of it."""
+    name: str
+    address: tuple
+    zone: str
+    kind: str
+    pod: int
+    state: str
+    share: float
+    up_since: float
+
+
+class HostList(NamedTuple):
+    """A host list or changes to one, in discovery's form."""
+    index: int
+    full: bool
+    entries: list
+
+
+def host_list(told):
+    """A host list, checked: as the configuration holds the last one, and as discovery answers."""
+    return HostList(told.whole("index"), told.flag("snapshot"),
+                    [host_entry(row) for row in told.sections("endpoints")])
+
+
+def host_entry(row):
+    return Entry(
+        row.text("name"), row.address("address"), row.text("zone", ""), row.text("type", ""), row.whole("group", 0),
+        STATES.get(row.text("status"), api.DRAINING), row.number("weight", 1.0), row.number("since_ms", 0) / 1e3)
+
+
+@dataclass(frozen=True)
+class Config:
+    """All that a gateway is told at its start."""
+    name: str
+    listen: tuple
+    discovery: tuple
+    counter: tuple | None
+    seed: int
+    memory_mb: float
+    sockets: int
+    known: HostList
+    settings: Settings
+
+
+def load(environ):
+    """The configuration that the PROXY_* variables name."""
+    path = environ.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG: missing, expected the path of a JSON file")
+    try:
+        with open(path, "rb") as file:
+            told = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"PROXY_CONFIG: expected a readable file at {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"PROXY_CONFIG: expected JSON in {path}: {error}") from None
+    return read(told, environ)
+
+
+def read(told, environ=None):
+    """The configuration from its JSON; a PROXY_* variable goes before the key that says the same."""
+    told = Section(told)
+    for key in ("name", "listen", "discovery"):
+        variable = "PROXY_" + key.upper()
+        if environ and environ.get(variable):
+            told.value = {**told.value, key: environ[variable]}
+            if key != "name":
+                address(environ[variable], variable)
+    seed, limits, set_up = told.text("seed"), told.section("limits", {}), settings(told.section("settings"))
+    try:
+        seed = int(seed, 16)
+    except ValueError:
+        raise ConfigError(f"seed: expected hex digits, found {brief(seed)}") from None
+    return Config(
+        name=told.text("name"), listen=told.address("listen"), discovery=told.address("discovery"),
+        counter=told.address("counter") if set_up.may_count else None, seed=seed,
+        memory_mb=limits.number("memory_mb", 192), sockets=limits.whole("sockets", 1024, 64),
+        known=host_list(told.section("known", {"index": 0, "snapshot": True, "endpoints": []})), settings=set_up)
--- /dev/null
+++ b/petrellane/net/counter.py
@@ -0,0 +1,135 @@
+"""The shared counter: adds are written one behind another on few connections, and end late by our own clock."""
+
+from collections import deque
+from functools import partial
+
+from petrellane import interface as api
+from petrellane.net import resp
+from petrellane.net.stream import Closed, Stream
+
+
+class Call:
+    """One add on its way."""
+    __slots__ = ("add", "at", "timer", "mark", "told")
+
+    def __init__(self, add, at):
+        self.add, self.at, self.timer, self.mark, self.told = add, at, None, None, False
+
+
+class Link:
+    """One connection to the counter."""
+
+    def __init__(self, counter):
+        self.counter, self.stream, self.calls = counter, None, deque()
+        self.used = counter.scheduler.now()
+
+    def run(self):
+        """Dial, write what waits, and read answers until the connection ends."""
+        counter = self.counter
+        try:
+            self.stream = Stream.dial(counter.scheduler, counter.limits, counter.address,
+                                      counter.limits.counter_timeout)
+            for call in [call for call in self.calls if call.told]:
+                self.calls.remove(call)    # its time is over, and it was never written
+            for call in self.calls:
+                self.write(call)
+            while True:
+                self.read()
+                self.stream.fill()
+        except (OSError, Closed, resp.Malformed) as trouble:
+            self.end(str(trouble))
+
+    def post(self, call):
+        self.calls.append(call)
+        if self.stream:
+            self.write(call)
+
+    def write(self, call):
+        add = call.add
+        amount = f"{add.amount:.7f}".rstrip("0").rstrip(".")
+        self.stream.write(resp.words(b"CNT.ADD", b"%d" % add.name, amount.encode(),
+                                     b"%d" % max(1, int(add.ttl * 1e3))))
+        call.mark, self.used = self.stream.queued, self.counter.scheduler.now()
+
+    def read(self):
+        """Take the answers that have come whole; that to a late call goes by in its place."""
+        buffer = self.stream.buffer
+        while found := resp.answer(buffer, 0, self.counter.limits):
+            kind, content, end = found
+            if not self.calls:
+                raise resp.Malformed("an answer to nothing")
+            outcome, total = self.meaning(buffer, kind, content)
+            del buffer[:end]
+            self.counter.tell(self.calls.popleft(), outcome, total)
+
+    @staticmethod
+    def meaning(buffer, kind, content):
+        if kind == 0x24 and content:
+            try:
+                return api.OK, float(bytes(buffer[slice(*content)]))
+            except ValueError:
+                raise resp.Malformed("a total out of form") from None
+        if kind != 0x2D:
+            raise resp.Malformed("an answer out of form")
+        return api.FULL, 0.0    # turned away or refused: nothing was added
+
+    def stuck(self, now):
+        """Whether an answer has been due for so long that no call should wait behind it."""
+        return bool(self.calls) and now - self.calls[0].at > self.counter.limits.counter_timeout
+
+    def end(self, reason):
+        """The connection is over, and what is out on it with it."""
+        if self.stream:
+            self.stream.close()
+        if self in self.counter.links:
+            self.counter.links.remove(self)
+        calls, self.calls = self.calls, deque()
+        for call in calls:
+            whole = call.mark is not None and call.mark <= self.stream.sent
+            self.counter.tell(call, api.RESET if whole else api.UNREACHABLE, 0.0)
+
+
+class Counter:
+    """Carries out adds; `counted` hears of each, once."""
+
+    def __init__(self, scheduler, limits, address, counted):
+        self.scheduler, self.limits, self.address, self.counted = scheduler, limits, address, counted
+        self.links = []
+        scheduler.after(limits.look, self.look)
+
+    def post(self, add):
+        call = Call(add, self.scheduler.now())
+        call.timer = self.scheduler.after(self.limits.counter_timeout, partial(self.late, call))
+        self.link(call.at).post(call)
+
+    def link(self, now):
+        """A connection on which an answer can be expected, or a new one."""
+        for link in list(self.links):
+            if link.stream and not link.calls and not link.stream.quiet():
+                link.end("ended by the counter")
+        open_ones = [link for link in self.links if not link.stuck(now)]
+        if open_ones:
+            return open_ones[0]
+        if len(self.links) >= self.limits.counter_connections:
+            self.links[0].end("silent")
+        link = Link(self)
+        self.links.append(link)
+        self.scheduler.spawn(link.run)
+        return link
+
+    def late(self, call):
+        self.tell(call, api.LATE if call.mark else api.UNREACHABLE, 0.0)
+
+    def tell(self, call, outcome, total):
+        if not call.told:
+            call.told = True
+            call.timer.cancel()
+            self.scheduler.soon(self.counted, call.add, outcome, total)
+
+    def look(self):
+        """Retire idle connections before the counter does."""
+        self.scheduler.after(self.limits.look, self.look)
+        before = self.scheduler.now() - self.limits.counter_idle
+        for link in list(self.links):
+            if link.stream and not link.calls and link.used < before:
+                link.end("idle")
--- /dev/null
+++ b/petrellane/net/discovery.py
@@ -0,0 +1,60 @@
+"""The host list: a watch that goes on for as long as discovery answers, and begins anew where it does not."""
+
+import orjson
+
+from petrellane.config import ConfigError, Section, host_list
+from petrellane.net import http
+from petrellane.net.resp import Malformed
+from petrellane.net.stream import Closed, Stream
+
+PATH = "/registry/instances"
+
+
+class Discovery:
+    """Tells `listed` of each list, and of None when a call failed."""
+
+    def __init__(self, scheduler, limits, log, address, index, listed):
+        self.scheduler, self.limits, self.log, self.address = scheduler, limits, log, address
+        self.index, self.listed = index, listed
+
+    def run(self):
+        """Watch for ever; discovery that is away is asked again with growing pauses."""
+        pause, away = self.limits.back_off_first, False
+        while True:
+            stream = None
+            try:
+                stream = Stream.dial(self.scheduler, self.limits, self.address, self.limits.dial_timeout)
+                while True:
+                    told, lasting = self.watch(stream)
+                    if away:
+                        self.log.event("discovery_back", index=told.index)
+                    pause, away, self.index = self.limits.back_off_first, False, told.index
+                    self.listed(told)
+                    if not lasting:
+                        break
+            except (OSError, Closed, Malformed, ConfigError, ValueError) as trouble:
+                if not away:
+                    self.log.event("discovery_away", error=str(trouble))
+                    self.listed(None)
+                away = True
+                self.scheduler.wait(pause)
+                pause = min(2 * pause, self.limits.back_off_most)
+            finally:
+                if stream:
+                    stream.close()
+
+    def watch(self, stream):
+        """One call: the list or the changes, and whether the connection goes on."""
+        limits, path = self.limits, PATH
+        if self.index:
+            path += f"?from={self.index}&hold_ms={int(limits.watch_hold * 1e3)}"
+        stream.write(http.get(path, "%s:%d" % self.address))
+        timeout = limits.watch_hold + limits.watch_grace
+        while not (found := http.head(stream.buffer, limits)):
+            stream.fill(timeout)
+        status, fields, end = found
+        del stream.buffer[:end]
+        body = http.body(stream, fields, limits, timeout)
+        if status != 200:
+            raise Malformed(f"status {status}")
+        return host_list(Section(orjson.loads(body), "list")), fields.get(b"connection", b"").lower() != b"close"
--- /dev/null
+++ b/petrellane/net/driver.py
@@ -0,0 +1,136 @@
+"""Calls the decisions with what the sockets tell, and carries out the steps they answer with."""
+
+from weakref import WeakValueDictionary
+
+from petrellane import interface as api
+from petrellane.choice import Gateway
+from petrellane.net.exchange import BadField
+
+
+class Driver:
+    """The one place where the network and the module meet."""
+
+    def __init__(self, config, scheduler, log):
+        self.settings, self.scheduler, self.log, self.now = config.settings, scheduler, log, scheduler.now
+        self.gateway = Gateway(seed=config.seed, **config.settings.gateway)
+        self.customers, self.hosts, self.exchanges = WeakValueDictionary(), {}, {}
+        self.upstream = self.counter = None    # set before the first event
+        self.carriers = {api.CallOut: self.call_out, api.PushBack: self.push_back, api.Abort: self.abort,
+                         api.Cancel: self.cancel, api.Add: self.add, api.Wake: self.wake,
+                         api.Log: self.note, api.Subscribe: self.subscribe}
+
+    def carry_out(self, steps):
+        for step in steps:
+            self.carriers[type(step)](step)
+
+    def start(self, known):
+        self.carry_out(self.gateway.started(self.now()))
+        self.listed(known._replace(full=True))
+
+    def listed(self, told):
+        """A host list, changes to it, or None when asking failed."""
+        if told is None:
+            self.carry_out(self.gateway.listed(self.now(), False, None))
+            return
+        listings, named = [], set()
+        for entry in told.entries:
+            host = self.hosts.setdefault(entry.name, api.Host("%s:%d" % entry.address))
+            host.address = "%s:%d" % entry.address
+            named.add(entry.name)
+            listings.append(api.Listing(host, entry.zone, entry.kind, entry.pod, entry.state, entry.share,
+                                        entry.up_since))
+        self.carry_out(self.gateway.listed(self.now(), told.full, listings))
+        for entry in told.entries:
+            if entry.state != api.GONE:
+                self.upstream.listed(self.hosts[entry.name], entry.address)
+        gone = [name for name, host in self.hosts.items()
+                if host.state == api.GONE or told.full and name not in named]
+        for name in gone:
+            self.upstream.gone(self.hosts.pop(name))
+        if gone or told.entries:
+            self.log.event("hosts", index=told.index, full=told.full, changed=len(told.entries),
+                           known=len(self.hosts), ready=sum(h.state == api.READY for h in self.hosts.values()))
+
+    def place(self, exchange):
+        """A client's RPC; BadField when it makes no sense."""
+        now = self.now()
+        method = self.settings.methods.get(exchange.text("c"))
+        plan = self.settings.plans.get(exchange.text("t"))
+        if method is None:
+            raise BadField("c: no such method")
+        if plan is None:
+            raise BadField("t: no such plan")
+        units, first, spread = exchange.units(), exchange.whole("first", 0, 0), exchange.whole("spread", 1, 1)
+        name = exchange.customer.decode()
+        customer = self.customers.get(name)
+        if customer is None:
+            customer = self.customers[name] = api.Customer(name, plan)
+        customer.plan, customer.first, customer.spread = plan, first, spread
+        rpc = exchange.rpc = api.Rpc(method, customer, units, now + exchange.patience, now,
+                                     resent=exchange.named.get("r") == "1", write=method.effect != api.IDEMPOTENT)
+        self.exchanges[rpc] = exchange
+        self.carry_out(self.gateway.place(now, rpc))
+
+    def left(self, exchange):
+        """A client has gone away before its answer."""
+        if exchange.rpc in self.exchanges:
+            del self.exchanges[exchange.rpc]
+            self.carry_out(self.gateway.left(self.now(), exchange.rpc))
+
+    def ended(self, attempt, outcome, value=b"", used=b"", report=b""):
+        """An attempt's outcome; the first ok answers the client by itself."""
+        call_out, now = attempt.call_out, self.now()
+        if outcome == api.OK:
+            self.finish(call_out.rpc, b"$%d\r\n" % len(value), value, b"\r\n")
+        over = call_out.rpc not in self.exchanges
+        used = self.figures(used)
+        self.carry_out(self.gateway.again(
+            now, call_out, outcome, over=over, took=now - call_out.sent, usage=int(used.get("used", 0)),
+            units=used.get("cost", 0.0), report=self.figures(report)))
+
+    @staticmethod
+    def figures(text):
+        """Names and numbers, `a=1,b=2`; what is none is left out."""
+        found = {}
+        for part in text.decode("latin-1").split(",") if text else ():
+            name, _, number = part.partition("=")
+            try:
+                found[name] = float(number)
+            except ValueError:
+                pass
+        return found
+
+    def counted(self, add, outcome, total):
+        self.carry_out(self.gateway.counted(self.now(), add, outcome, total))
+
+    def finish(self, rpc, *answer):
+        exchange = self.exchanges.pop(rpc, None)
+        if exchange:
+            exchange.finish(*answer)
+
+    def call_out(self, step):
+        exchange = self.exchanges.get(step.rpc)
+        if exchange:
+            self.upstream.send(exchange, step)
+
+    def push_back(self, step):
+        wait = int(step.wait * 1e3 + 0.999)
+        self.finish(step.rpc, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
+
+    def abort(self, step):
+        self.finish(step.rpc, b"-ERR aborted\r\n")
+
+    def cancel(self, step):
+        self.upstream.cancel(step.call_out)
+
+    def add(self, step):
+        self.counter.post(step)
+
+    def wake(self, step):
+        self.scheduler.after(step.after, lambda: self.carry_out(self.gateway.woken(self.now(), step.about)))
+
+    def note(self, step):
+        self.log.event("mode", text=step.text)
+
+    def subscribe(self, step):
+        """The watch is on from the start and begins anew by itself."""
--- /dev/null
+++ b/petrellane/net/http.py
@@ -0,0 +1,67 @@
+"""HTTP/1.1 as far as discovery speaks it: one GET at a time, answers with a length or in chunks."""
+
+from petrellane.net.resp import Malformed
+
+
+def get(path, host):
+    return f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
+
+
+def head(buffer, limits):
+    """The status, the fields (names in lower case) and the length of an answer's head; None when it is not all
+    there."""
+    end = buffer.find(b"\r\n\r\n")
+    if end < 0:
+        if len(buffer) > limits.line * limits.parts:
+            raise Malformed("head too long")
+        return None
+    first, *lines = bytes(buffer[:end]).split(b"\r\n")
+    parts = first.split(b" ", 2)
+    if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit():
+        raise Malformed("bad status line")
+    fields = {}
+    for field in lines:
+        name, colon, value = field.partition(b":")
+        if not colon:
+            raise Malformed("bad field")
+        fields[name.strip().lower()] = value.strip()
+    return int(parts[1]), fields, end + 4
+
+
+def body(stream, fields, limits, timeout):
+    """Read the body of an answer whose head has been consumed."""
+    if fields.get(b"transfer-encoding", b"").lower() == b"chunked":
+        return chunked(stream, limits, timeout)
+    length = fields.get(b"content-length", b"")
+    if not length.isdigit() or int(length) > limits.list_size:
+        raise Malformed("bad length")
+    return take(stream, int(length), timeout)
+
+
+def take(stream, length, timeout):
+    """So many bytes from a stream."""
+    while len(stream.buffer) < length:
+        stream.fill(timeout)
+    data = bytes(stream.buffer[:length])
+    del stream.buffer[:length]
+    return data
+
+
+def chunked(stream, limits, timeout):
+    data = bytearray()
+    while True:
+        while (end := stream.buffer.find(b"\r\n")) < 0:
+            if len(stream.buffer) > limits.line:
+                raise Malformed("bad chunk")
+            stream.fill(timeout)
+        try:
+            length = int(bytes(stream.buffer[:end]).split(b";")[0], 16)
+        except ValueError:
+            raise Malformed("bad chunk") from None
+        if length < 0 or len(data) + length > limits.list_size:
+            raise Malformed("list too long")
+        del stream.buffer[:end + 2]
+        chunk = take(stream, length + 2, timeout)    # the last one stands for an empty trailer as well
+        if not length:
+            return bytes(data)
+        data += chunk[:-2]
--- /dev/null
+++ b/petrellane/net/limits.py
@@ -0,0 +1,48 @@
+"""Every size, count and time of the network code, in one type: filled at start and handed down."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Sizes are bytes and times are seconds."""
+    sockets: int                      # descriptors that the process may hold
+    dial_timeout: float               # a connection to a host that is not up by then never comes up
+    host_idle: float                  # idle connections to hosts are retired after this, before the host does
+    streams: int                      # call-outs on one connection to a host at the same time
+    counter_timeout: float            # an add unanswered for so long is late
+    value: int = 64 * 1024            # a value in a command or an answer
+    line: int = 1024                  # a line of a head
+    parts: int = 16                   # parts of a command or an answer
+    unsent: int = 4 * 1024 * 1024     # what a peer may leave unread of what we write to it
+    receive: int = 64 * 1024          # asked of a socket at once
+    accepts: int = 64                 # connections accepted in a row before others have their turn
+    backlog: int = 1024               # connections that wait to be accepted
+    reserve: int = 32                 # descriptors kept free of clients and hosts
+    host_connections: int = 48        # connections to one host
+    counter_connections: int = 4      # connections to the counter
+    counter_idle: float = 4.0         # the counter closes idle connections after ten seconds or less
+    watch_hold: float = 4.0           # how long discovery may hold a watch
+    watch_grace: float = 1.0          # and how much later its answer may come
+    list_size: int = 8 * 1024 * 1024  # a host list
+    back_off_first: float = 0.1       # wait before the first new connection to discovery
+    back_off_most: float = 1.0        # and the longest wait
+    look: float = 1.0                 # between looks for idle connections
+    change_over: float = 0.5          # after SIGTERM, clients are served as if nothing were the matter for so long
+    log_lines: int = 1000             # log lines that wait for a slow reader; what comes on top is dropped
+
+    @classmethod
+    def of(cls, config):
+        """The limits that a configuration sets."""
+        told = config.settings
+        return cls(sockets=config.sockets, dial_timeout=told.dial_timeout, host_idle=told.conn_idle / 2,
+                   streams=told.streams, counter_timeout=told.counter_timeout)
+
+    def host_room(self, clients):
+        """How many connections to hosts leave room for so many clients."""
+        return max(0, self.sockets - self.reserve - clients)
+
+    @property
+    def client_room(self):
+        """How many clients can be connected before idle ones are shed."""
+        return self.sockets - self.reserve
--- /dev/null
+++ b/petrellane/net/scheduler.py
@@ -0,0 +1,113 @@
+"""Greenlets over select.poll: who waits for which descriptor, and which timer rings next."""
+
+import heapq
+import itertools
+import select
+import time
+
+import greenlet
+
+
+class Timer:
+    """A call that is due at some time; cancelling it is all that can be done to it."""
+    __slots__ = ("call",)
+
+    def __init__(self, call):
+        self.call = call
+
+    def cancel(self):
+        self.call = None
+
+
+class Scheduler:
+    """One thread's greenlets. Descriptors are watched for as long as they are registered; what is ready is told
+    to the call that was registered with it. A greenlet that waits is resumed by such a call or by a timer."""
+
+    def __init__(self, fault):
+        self.fault = fault               # told of exceptions that nothing else caught
+        self.hub = greenlet.getcurrent()
+        self.poll = select.poll()
+        self.calls = {}                  # descriptor -> what to call with its events
+        self.timers, self.order = [], itertools.count()
+        self.ready = []                  # calls for the end of this turn
+        self.running = False
+        self.offset = time.time() - time.monotonic()
+
+    def now(self):
+        """Unix time, anchored once and stepped by the monotonic clock."""
+        return self.offset + time.monotonic()
+
+    def register(self, descriptor, events, call):
+        self.calls[descriptor] = call
+        self.poll.register(descriptor, events)
+
+    def modify(self, descriptor, events):
+        self.poll.modify(descriptor, events)
+
+    def unregister(self, descriptor):
+        del self.calls[descriptor]
+        self.poll.unregister(descriptor)
+
+    def soon(self, call, *words):
+        """Make a call at the end of this turn."""
+        self.ready.append((call, words))
+
+    def after(self, seconds, call):
+        """Make a call after some seconds."""
+        timer = Timer(call)
+        heapq.heappush(self.timers, (time.monotonic() + seconds, next(self.order), timer))
+        return timer
+
+    def spawn(self, call, *words):
+        """Run a call in a greenlet of its own, from the end of this turn."""
+        self.soon(greenlet.greenlet(call, self.hub).switch, *words)
+
+    def wait(self, seconds=None):
+        """Park this greenlet until somebody switches to it; False when the time ran out first."""
+        current = greenlet.getcurrent()
+        timer = self.after(seconds, lambda: current.switch(False)) if seconds is not None else None
+        woken = self.hub.switch()
+        if timer:
+            timer.cancel()
+        return woken is not False
+
+    def run(self):
+        """Serve until stopped."""
+        self.running = True
+        while self.running:
+            for descriptor, events in self.poll.poll(self.pause()):
+                call = self.calls.get(descriptor)
+                if call:
+                    self.attempt(call, (events,))
+            self.ring()
+            while self.ready:
+                ready, self.ready = self.ready, []
+                for call, words in ready:
+                    self.attempt(call, words)
+
+    def stop(self):
+        self.running = False
+
+    def pause(self):
+        """Milliseconds until the next timer."""
+        while self.timers and self.timers[0][2].call is None:
+            heapq.heappop(self.timers)
+        if self.ready:
+            return 0
+        if not self.timers:
+            return None
+        return max(0, int((self.timers[0][0] - time.monotonic()) * 1000 + 0.999))
+
+    def ring(self):
+        """Make the calls that are due."""
+        until = time.monotonic()
+        while self.timers and self.timers[0][0] <= until:
+            call = heapq.heappop(self.timers)[2].call
+            if call:
+                self.attempt(call, ())
+
+    def attempt(self, call, words):
+        try:
+            call(*words)
+        except Exception as error:    # one peer's trouble is not the others'
+            self.fault(error)
--- /dev/null
+++ b/petrellane/net/server.py
@@ -0,0 +1,168 @@
+"""The client side: accepts connections, reads commands, writes the answers in the order of the commands."""
+
+import errno
+import select
+import socket
+from collections import deque
+
+from petrellane.net import resp
+from petrellane.net.exchange import BadField, Exchange, Reply
+from petrellane.net.stream import Closed, Stream
+
+SERVED = {b"SVC.QUERY", b"SVC.SUBMIT"}
+AT_ONCE = {b"PING": b"+PONG\r\n", b"CLIENT": b"+OK\r\n", b"SELECT": b"+OK\r\n"}
+
+
+def error(text):
+    return b"-ERR %b\r\n" % text.encode("ascii", "replace")
+
+
+class Server:
+    """Hands what clients ask for to `place`, and tells `left` of those who went away before their answer."""
+
+    def __init__(self, scheduler, limits, log, place, left, make_room):
+        self.scheduler, self.limits, self.log = scheduler, limits, log
+        self.place, self.left, self.make_room = place, left, make_room
+        self.clients = {}    # connected ones, in the order of their last command
+        self.listener, self.ending, self.ended = None, False, None
+
+    def listen(self, address):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(self.limits.backlog)
+        self.listener = sock
+        self.scheduler.register(sock.fileno(), select.POLLIN, self.accept)
+
+    def accept(self, events=0):
+        for _ in range(self.limits.accepts):
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as trouble:
+                if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self.log.event("no_descriptor", clients=len(self.clients), error=str(trouble))
+                    self.shed()
+                    self.make_room(1)
+                return
+            client = Client(self, Stream(self.scheduler, self.limits, sock))
+            self.clients[client] = None
+            if len(self.clients) > self.limits.client_room:
+                self.shed()
+            self.make_room(0)
+            self.scheduler.spawn(client.run)
+
+    def shed(self):
+        """Close the connection that has been idle for longest."""
+        for client in self.clients:
+            if client.idle():
+                client.stream.close()
+                del self.clients[client]
+                return
+
+    def end(self, ended):
+        """Let clients go as soon as each has all its answers, then tell `ended`."""
+        self.ending, self.ended = True, ended
+        for client in list(self.clients):
+            client.let_go()
+        self.check_end()
+
+    def check_end(self):
+        if not self.ending or self.clients or not self.listener:
+            return
+        self.accept()    # whoever came in the meantime is served
+        if not self.clients:
+            self.scheduler.unregister(self.listener.fileno())
+            self.listener.close()
+            self.listener = None
+            self.ended()
+
+
+class Client:
+    """One connection of a client."""
+
+    def __init__(self, server, stream):
+        self.server, self.stream = server, stream
+        self.owed = deque()    # replies in the order of their commands
+        self.closing = False   # the connection ends once all is written
+
+    def run(self):
+        """Read commands until the client goes away."""
+        try:
+            while True:
+                self.read()
+                self.let_go()
+                self.stream.fill()
+        except resp.Malformed as trouble:
+            self.closing = True
+            self.reply(error(str(trouble)))
+            try:
+                while True:    # what it sends now is of no form; it is read so that our answer is not lost
+                    self.stream.buffer.clear()
+                    self.stream.fill()
+            except Closed:
+                pass
+        except Closed:
+            pass
+        finally:
+            self.stream.close()
+            self.server.clients.pop(self, None)
+            for reply in self.owed:
+                if reply.answer is None:
+                    self.server.left(reply)
+            self.owed.clear()
+            self.server.check_end()
+
+    def read(self):
+        """Take all commands that have come whole."""
+        buffer, at, limits = self.stream.buffer, 0, self.server.limits
+        try:
+            while found := resp.command(buffer, at, limits):
+                spans, end = found
+                self.take(buffer, at, spans, end)
+                at = end
+        finally:
+            del buffer[:at]
+        if at:    # the order of clients is that of their last commands
+            self.server.clients.pop(self, None)
+            self.server.clients[self] = None
+
+    def take(self, buffer, start, spans, end):
+        verb = bytes(buffer[slice(*spans[0])]).upper()
+        if verb in SERVED:
+            try:
+                exchange = Exchange(buffer, start, spans, end, self.flush)
+            except BadField as trouble:
+                self.reply(error(str(trouble)))
+                return
+            self.owed.append(exchange)
+            try:
+                self.server.place(exchange)
+            except BadField as trouble:
+                exchange.finish(error(str(trouble)))
+        else:
+            self.reply(AT_ONCE.get(verb) or error("unknown command"))
+
+    def reply(self, answer):
+        self.owed.append(Reply(answer))
+        self.flush()
+
+    def flush(self):
+        """Write the answers that are next in order."""
+        pieces = []
+        while self.owed and self.owed[0].answer is not None:
+            pieces += self.owed.popleft().answer
+        if pieces:
+            self.stream.write(*pieces)
+            self.let_go()
+
+    def idle(self):
+        """Whether it is owed nothing and has sent nothing that we have not read."""
+        return not self.owed and not self.stream.buffer and not self.stream.unsent and self.stream.quiet()
+
+    def let_go(self):
+        """Close a connection that is to end, when nothing is owed on it."""
+        if self.closing and not self.owed and not self.stream.unsent or self.server.ending and self.idle():
+            self.stream.close()
--- /dev/null
+++ b/petrellane/net/stream.py
@@ -0,0 +1,151 @@
+"""A non-blocking socket with a buffer for what came and one for what could not be written yet."""
+
+import select
+import socket
+from collections import deque
+
+import greenlet
+
+READ = select.POLLIN | select.POLLPRI
+WRITE = select.POLLOUT
+GATHERED = 64    # buffers that one call hands to the socket; the system takes 1024
+
+
+class Closed(Exception):
+    """The peer has ended the connection, or it broke."""
+
+
+class Stream:
+    """A connection. One greenlet reads from it; anybody may write, which never waits."""
+
+    def __init__(self, scheduler, limits, sock):
+        self.scheduler, self.limits, self.sock = scheduler, limits, sock
+        self.buffer = bytearray()        # read and not yet consumed
+        self.unsent = deque()            # to be written
+        self.queued = self.sent = 0      # bytes handed over for writing, and written, in all
+        self.reader, self.dialing, self.broken = None, False, None
+        sock.setblocking(False)
+        if sock.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.events = READ
+        scheduler.register(sock.fileno(), READ, self.on_events)
+
+    @classmethod
+    def dial(cls, scheduler, limits, address, timeout):
+        """A stream to an address; raises OSError when it does not come up in time."""
+        stream = cls(scheduler, limits, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        try:
+            stream.connect(address, timeout)
+        except OSError:
+            stream.close()
+            raise
+        return stream
+
+    def connect(self, address, timeout):
+        try:
+            self.sock.connect(address)
+            return
+        except BlockingIOError:
+            pass
+        self.dialing = True
+        self.watch(WRITE)
+        self.reader = greenlet.getcurrent()
+        in_time = self.scheduler.wait(timeout)
+        self.reader, self.dialing = None, False
+        if not in_time:
+            raise TimeoutError("no connection in time")
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "no connection")
+        self.sock.getpeername()    # raises where it is not up after all
+        self.watch(READ)
+
+    def watch(self, events):
+        if events != self.events and self.sock.fileno() >= 0:
+            self.events = events
+            self.scheduler.modify(self.sock.fileno(), events)
+
+    def on_events(self, events):
+        if not self.dialing:
+            if events & WRITE:
+                self.flush()
+            if not events & ~WRITE:
+                return
+        if self.reader:
+            self.reader.switch()
+
+    def fill(self, timeout=None):
+        """Wait for more bytes; Closed when there will be none, TimeoutError when none came in time."""
+        while True:
+            if self.broken:
+                raise self.broken
+            try:
+                data = self.sock.recv(self.limits.receive)
+            except BlockingIOError:
+                self.reader = greenlet.getcurrent()
+                in_time = self.scheduler.wait(timeout)
+                self.reader = None
+                if not in_time:
+                    raise TimeoutError("nothing came in time") from None
+                continue
+            except OSError as error:
+                raise Closed(str(error)) from None
+            if not data:
+                raise Closed("ended by the peer")
+            self.buffer += data
+            return
+
+    def write(self, *pieces):
+        """Write these buffers behind what waits; what the socket does not take now is written later."""
+        for piece in pieces:
+            self.unsent.append(memoryview(piece))
+            self.queued += len(piece)
+        if self.events == READ:
+            self.flush()
+
+    def flush(self):
+        try:
+            while self.unsent:
+                taken = self.sock.sendmsg([self.unsent[at] for at in range(min(GATHERED, len(self.unsent)))])
+                self.sent += taken
+                while taken:
+                    piece = self.unsent[0]
+                    if taken < len(piece):
+                        self.unsent[0] = piece[taken:]
+                        break
+                    taken -= len(self.unsent.popleft())
+        except BlockingIOError:
+            if self.queued - self.sent > self.limits.unsent:
+                self.fail("the peer reads nothing")
+        except OSError as error:
+            self.fail(str(error))
+        self.watch(READ | WRITE if self.unsent else READ)
+
+    def fail(self, reason):
+        """Writing is over: the reader learns of it, whoever writes need not."""
+        self.unsent.clear()
+        if not self.broken:
+            self.broken = Closed(reason)
+            self.scheduler.soon(self.wake)
+
+    def wake(self):
+        if self.reader:
+            self.reader.switch()
+
+    def quiet(self):
+        """Whether the peer has neither sent nor ended anything that we have not read."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return not self.broken
+        except OSError:
+            pass
+        return False
+
+    def close(self):
+        """End the connection at once; its reader, if another greenlet, ends with Closed."""
+        if self.sock.fileno() < 0:
+            return
+        self.scheduler.unregister(self.sock.fileno())
+        self.sock.close()
+        self.fail("closed here")
--- /dev/null
+++ b/petrellane/net/upstream.py
@@ -0,0 +1,268 @@
+"""The host side: connections to hosts, and the attempts that are out on them.
+
+What becomes of an attempt is told exactly as the sockets prove it: it never ran when its connection did not come up
+or broke before the last byte was written, and may have run when that happened later.
+"""
+
+from collections import deque
+from functools import partial
+
+from petrellane import interface as api
+from petrellane.net import resp
+from petrellane.net.stream import Closed, Stream
+
+
+class Attempt:
+    """A call-out on the network."""
+    __slots__ = ("exchange", "call_out", "pool", "connection", "until", "timer", "mark", "given_up")
+
+    def __init__(self, exchange, call_out, pool, until):
+        self.exchange, self.call_out, self.pool, self.until = exchange, call_out, pool, until
+        self.connection = self.timer = self.mark = None
+        self.given_up = ""    # the outcome that is told once its connection allows
+
+
+class Connection:
+    """One connection to a host; attempts are answered in the order in which they were written."""
+
+    def __init__(self, pool):
+        self.pool, self.stream, self.out = pool, None, deque()
+        self.idle_since, self.retiring = 0.0, False
+
+    def run(self):
+        """Dial, then read answers until the connection ends."""
+        upstream, pool = self.pool.upstream, self.pool
+        try:
+            self.stream = Stream.dial(upstream.scheduler, upstream.limits, pool.address, upstream.limits.dial_timeout)
+        except OSError as trouble:
+            upstream.open -= 1
+            pool.dial_failed(self, trouble)
+            return
+        pool.dials -= 1
+        pool.free(self)
+        try:
+            while True:
+                self.read()
+                self.stream.fill()
+        except (Closed, resp.Malformed):
+            pass
+        finally:
+            self.end()
+
+    def write(self, attempt):
+        """Send an attempt, unless there is no sense in it any more."""
+        now = self.pool.upstream.scheduler.now()
+        attempt.connection, attempt.mark = self, None
+        self.out.append(attempt)
+        self.stream.write(*attempt.exchange.command(attempt.until - now))
+        attempt.mark = self.stream.queued
+
+    def read(self):
+        """Take the answers that have come whole."""
+        buffer, limits = self.stream.buffer, self.pool.upstream.limits
+        while found := resp.answer(buffer, 0, limits):
+            kind, content, end = found
+            if not self.out:
+                raise resp.Malformed("an answer to nothing")
+            attempt = self.out[0]
+            outcome, value, used, report = self.meaning(kind, content)
+            del buffer[:end]
+            self.out.popleft()
+            self.pool.upstream.over(attempt, outcome, value, used, report)
+            self.pool.free(self)
+
+    def meaning(self, kind, content):
+        """What an answer says: the outcome, the value, the figures on use and the load report."""
+        def taken(span):
+            return bytes(self.stream.buffer[slice(*span)]) if span else b""
+        if kind == 0x2A and content and content[0]:
+            value, used, report = (content + [None, None])[:3]
+            return api.OK, taken(value), taken(used), taken(report)
+        if kind != 0x2D:
+            raise resp.Malformed("an answer out of form")
+        text = taken(content)
+        if text.startswith(b"BUSY"):
+            return api.FULL, b"", b"", b""
+        report = text.rpartition(b" ")[2]
+        return api.ERROR, b"", b"", report if b"=" in report else b""
+
+    def end(self):
+        """The connection is over, and what is out on it with it."""
+        self.stream.close()
+        out, self.out = self.out, deque()
+        self.pool.drop(self)
+        for attempt in out:
+            whole = attempt.mark is not None and attempt.mark <= self.stream.sent
+            outcome = api.RESET if whole else api.UNREACHABLE
+            if whole and attempt.given_up:
+                outcome = attempt.given_up
+            self.pool.upstream.over(attempt, outcome)
+
+    def give_up(self, attempt, outcome):
+        """Stop waiting for an attempt without ending the others on the connection."""
+        attempt.given_up = outcome
+        self.retiring = True
+        if all(other.given_up for other in self.out):
+            self.end()
+        elif outcome == api.LATE:    # its time is over: nothing can be sent in its place, so this may be told
+            self.pool.upstream.over(attempt, outcome)
+
+
+class Pool:
+    """The connections to one host, and the attempts that wait for one."""
+
+    def __init__(self, upstream, host, address):
+        self.upstream, self.host, self.address = upstream, host, address
+        self.idle, self.busy = deque(), {}    # the last one used is the next one used
+        self.queue, self.dials = deque(), 0
+
+    def assign(self, attempt):
+        """Write an attempt to an idle connection, or let it wait for a new one, or pipeline it."""
+        limits = self.upstream.limits
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.stream.quiet():
+                self.busy[connection] = None
+                connection.write(attempt)
+                return
+            connection.end()
+        self.queue.append(attempt)
+        if len(self.queue) <= self.dials:
+            return
+        if self.dials + len(self.busy) < limits.host_connections and self.upstream.make_room(1):
+            self.dials += 1
+            self.upstream.open += 1
+            self.upstream.scheduler.spawn(Connection(self).run)
+            return
+        shared = [one for one in self.busy if not one.retiring and len(one.out) < limits.streams]
+        if shared:
+            self.queue.pop()
+            min(shared, key=lambda one: len(one.out)).write(attempt)
+
+    def free(self, connection):
+        """A connection has come up, or an answer has come on it: the next attempt, or idle."""
+        if connection.stream.broken:
+            return
+        if connection.retiring or self.host.state != api.READY:
+            if all(other.given_up for other in connection.out):
+                connection.end()
+            return
+        while self.queue and not connection.out:
+            attempt = self.queue.popleft()
+            if self.upstream.stale(attempt):
+                self.upstream.over(attempt, api.NEVER_SENT)
+                continue
+            self.busy[connection] = None
+            connection.write(attempt)
+        if not connection.out:
+            self.busy.pop(connection, None)
+            connection.idle_since = self.upstream.scheduler.now()
+            self.idle.append(connection)
+
+    def dial_failed(self, connection, trouble):
+        """The attempt that has waited for longest fails, unless a connection is still to come for it."""
+        self.dials -= 1
+        if len(self.queue) > self.dials:
+            self.upstream.over(self.queue.popleft(), api.UNREACHABLE)
+
+    def drop(self, connection):
+        """A connection has ended."""
+        self.upstream.open -= 1
+        self.busy.pop(connection, None)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        if self.queue and len(self.queue) > self.dials:    # one waits that no dial will serve
+            self.assign(self.queue.popleft())
+
+    def withdraw(self):
+        """The host wants nothing new: idle connections end, and what waits for one is handed back."""
+        self.retire(float("inf"))
+        while self.host.state != api.READY and self.queue:
+            self.upstream.scheduler.soon(self.upstream.over, self.queue.popleft(), api.NEVER_SENT)
+
+    def retire(self, before):
+        """End idle connections that were last used before some time."""
+        while self.idle and self.idle[0].idle_since < before:
+            self.idle[0].end()
+
+
+class Upstream:
+    """All hosts' pools. `ended` hears of each attempt's outcome, once."""
+
+    def __init__(self, scheduler, limits, clients, ended):
+        self.scheduler, self.limits, self.clients, self.ended = scheduler, limits, clients, ended
+        self.pools, self.open = {}, 0
+        self.attempts = {}    # call-out -> attempt, while its outcome is not told
+        scheduler.after(limits.look, self.look)
+
+    def listed(self, host, address):
+        """A host is at this address, and ready or not."""
+        pool = self.pools.get(host)
+        if pool is None:
+            pool = self.pools[host] = Pool(self, host, address)
+        if pool.address != address or host.state != api.READY:
+            pool.address = address
+            pool.withdraw()
+
+    def gone(self, host):
+        """A host is no longer listed; what it has begun it may still finish."""
+        pool = self.pools.pop(host, None)
+        if pool:
+            pool.withdraw()
+
+    def send(self, exchange, call_out):
+        """Start an attempt."""
+        pool = self.pools.get(call_out.host)
+        attempt = Attempt(exchange, call_out, pool, call_out.sent + call_out.timeout)
+        self.attempts[call_out] = attempt
+        if pool is None or self.stale(attempt):
+            self.scheduler.soon(self.over, attempt, api.NEVER_SENT)
+            return
+        attempt.timer = self.scheduler.after(attempt.until - self.scheduler.now(),
+                                             partial(self.give_up, attempt, api.LATE))
+        pool.assign(attempt)
+
+    def stale(self, attempt):
+        """Whether an attempt is not to be sent any more: its RPC is over, its time, or its host's."""
+        return (attempt.exchange.rpc.ended or attempt.call_out.host.state != api.READY
+                or attempt.until <= self.scheduler.now())
+
+    def cancel(self, call_out):
+        """Stop waiting for an attempt; its outcome still comes."""
+        attempt = self.attempts.get(call_out)
+        if attempt and not attempt.given_up:
+            self.scheduler.soon(self.give_up, attempt, api.CANCELLED)
+
+    def give_up(self, attempt, outcome):
+        if attempt.call_out not in self.attempts or attempt.given_up and outcome != api.LATE:
+            return
+        if attempt.connection:
+            attempt.connection.give_up(attempt, outcome)
+            return
+        if attempt in attempt.pool.queue:
+            attempt.pool.queue.remove(attempt)
+        self.over(attempt, api.UNREACHABLE)
+
+    def over(self, attempt, outcome, value=b"", used=b"", report=b""):
+        """Tell what became of an attempt, once."""
+        if self.attempts.pop(attempt.call_out, None):
+            if attempt.timer:
+                attempt.timer.cancel()
+            self.ended(attempt, outcome, value, used, report)
+
+    def make_room(self, more):
+        """Shed idle connections until so many more fit beside the clients; False when they do not."""
+        room = self.limits.host_room(self.clients()) - more
+        while self.open > room:
+            idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
+            if not idle:
+                return False
+            min(idle, key=lambda one: one.idle_since).end()
+        return True
+
+    def look(self):
+        """Retire what has been idle for long."""
+        self.scheduler.after(self.limits.look, self.look)
+        before = self.scheduler.now() - self.limits.host_idle
+        for pool in self.pools.values():
+            pool.retire(before)
