--- a/petrellane/net/discovery.py
+++ b/petrellane/net/discovery.py
@@ -32,6 +32,8 @@
                     self.listed(told)
                     if not lasting:
                         break
+                    if not told.entries:    # the watch goes on all the same; guards against answers without end
+                        self.scheduler.wait(self.limits.watch_pause)
             except (OSError, Closed, Malformed, ConfigError, ValueError) as trouble:
                 if not away:
                     self.log.event("discovery_away", error=str(trouble))
@@ -46,7 +48,7 @@
     def watch(self, stream):
         """One call: the list or the changes, and whether the connection goes on."""
         limits, path = self.limits, PATH
-        if self.index:
+        if self.index is not None:    # an index of 0 is one too
             path += f"?from={self.index}&hold_ms={int(limits.watch_hold * 1e3)}"
         stream.write(http.get(path, "%s:%d" % self.address))
         timeout = limits.watch_hold + limits.watch_grace
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -24,6 +24,7 @@
     counter_idle: float = 4.0         # the counter closes idle connections after ten seconds or less
     watch_hold: float = 4.0           # how long discovery may hold a watch
     watch_grace: float = 1.0          # and how much later its answer may come
+    watch_pause: float = 0.02         # before the next watch, where there was no news
     list_size: int = 8 * 1024 * 1024  # a host list
     back_off_first: float = 0.1       # wait before the first new connection to discovery
     back_off_most: float = 1.0        # and the longest wait
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -29,8 +29,8 @@
             self.scheduler, self.limits, lambda: len(self.server.clients), self.driver.ended)
         if config.counter:
             self.driver.counter = Counter(self.scheduler, self.limits, config.counter, self.driver.counted)
-        self.discovery = Discovery(self.scheduler, self.limits, self.log, config.discovery, config.known.index,
-                                   self.driver.listed)
+        self.discovery = Discovery(self.scheduler, self.limits, self.log, config.discovery,
+                                   config.known.index if config.known.entries else None, self.driver.listed)
         self.ending = False
 
     def run(self):
