Figures of error lines are read; edges of closing, flooding and faults on the sockets mended

Found by reading: a connection's end could be counted twice (Connection.end), urgent data would spin the poll, accept would spin without descriptors, a long command could take a megabyte, a fault in the module lost its RPC.

--- a/petrellane/cli.py
+++ b/petrellane/cli.py
@@ -1,6 +1,7 @@
 """The command line."""
 
 import os
+import signal
 import sys
 
 import typer
@@ -26,7 +27,7 @@
 def serve():
     """Serve until SIGTERM; PROXY_CONFIG names the configuration file."""
     node = Node(configuration())
-    node.end_on()
+    node.end_on(signal.SIGTERM, signal.SIGINT)
     node.run()
 
 
--- a/petrellane/net/counter.py
+++ b/petrellane/net/counter.py
@@ -1,5 +1,6 @@
 """The shared counter: adds are written one behind another on few connections, and end late by our own clock."""
 
+import math
 from collections import deque
 from functools import partial
 
@@ -66,9 +67,12 @@
     def meaning(buffer, kind, content):
         if kind == 0x24 and content:
             try:
-                return api.OK, float(bytes(buffer[slice(*content)]))
+                total = float(bytes(buffer[slice(*content)]))
             except ValueError:
-                raise resp.Malformed("a total out of form") from None
+                total = math.nan
+            if not math.isfinite(total):
+                raise resp.Malformed("a total out of form")
+            return api.OK, total
         if kind != 0x2D:
             raise resp.Malformed("an answer out of form")
         return api.FULL, 0.0    # turned away or refused: nothing was added
--- a/petrellane/net/driver.py
+++ b/petrellane/net/driver.py
@@ -1,5 +1,7 @@
 """Calls the decisions with what the sockets tell, and carries out the steps they answer with."""
 
+import math
+from contextlib import contextmanager
 from weakref import WeakValueDictionary
 
 from petrellane import interface as api
@@ -69,7 +71,17 @@
         rpc = exchange.rpc = api.Rpc(method, customer, units, now + exchange.patience, now,
                                      resent=exchange.named.get("r") == "1", write=method.effect != api.IDEMPOTENT)
         self.exchanges[rpc] = exchange
-        self.carry_out(self.gateway.place(now, rpc))
+        with self.guard(rpc):
+            self.carry_out(self.gateway.place(now, rpc))
+
+    @contextmanager
+    def guard(self, rpc):
+        """A fault of ours is logged, and the RPC has its answer all the same."""
+        try:
+            yield
+        except Exception as error:
+            self.log.fault(error)
+            self.finish(rpc, b"-ERR fault\r\n")
 
     def left(self, exchange):
         """A client has gone away before its answer."""
@@ -77,16 +89,16 @@
             del self.exchanges[exchange.rpc]
             self.carry_out(self.gateway.left(self.now(), exchange.rpc))
 
-    def ended(self, attempt, outcome, value=b"", used=b"", report=b""):
+    def ended(self, attempt, outcome, value, figures):
         """An attempt's outcome; the first ok answers the client by itself."""
         call_out, now = attempt.call_out, self.now()
         if outcome == api.OK:
             self.finish(call_out.rpc, b"$%d\r\n" % len(value), value, b"\r\n")
-        over = call_out.rpc not in self.exchanges
-        used = self.figures(used)
-        self.carry_out(self.gateway.again(
-            now, call_out, outcome, over=over, took=now - call_out.sent, usage=int(used.get("used", 0)),
-            units=used.get("cost", 0.0), report=self.figures(report)))
+        over, report = call_out.rpc not in self.exchanges, self.figures(figures)
+        with self.guard(call_out.rpc):
+            self.carry_out(self.gateway.again(
+                now, call_out, outcome, over=over, took=now - call_out.sent, usage=int(report.pop("used", -1)) + 1,
+                units=report.pop("cost", 0.0), report=report))
 
     @staticmethod
     def figures(text):
@@ -95,9 +107,11 @@
         for part in text.decode("latin-1").split(",") if text else ():
             name, _, number = part.partition("=")
             try:
-                found[name] = float(number)
+                value = float(number)
             except ValueError:
-                pass
+                continue
+            if math.isfinite(value):
+                found[name] = value
         return found
 
     def counted(self, add, outcome, total):
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -14,12 +14,14 @@
     value: int = 64 * 1024            # a value in a command or an answer
     line: int = 1024                  # a line of a head
     parts: int = 16                   # parts of a command or an answer
-    unsent: int = 4 * 1024 * 1024     # what a peer may leave unread of what we write to it
+    frame: int = 68 * 1024            # a command or an answer in all
+    unsent: int = 2 * 1024 * 1024     # what a peer may leave unread of what we write to it
     receive: int = 64 * 1024          # asked of a socket at once
     accepts: int = 64                 # connections accepted in a row before others have their turn
     backlog: int = 1024               # connections that wait to be accepted
     reserve: int = 32                 # descriptors kept free of clients and hosts
     host_connections: int = 48        # connections to one host
+    host_floor: int = 128             # descriptors for hosts that idle clients have to make room for
     counter_connections: int = 4      # connections to the counter
     counter_idle: float = 4.0         # the counter closes idle connections after ten seconds or less
     watch_hold: float = 4.0           # how long discovery may hold a watch
@@ -29,7 +31,10 @@
     back_off_first: float = 0.1       # wait before the first new connection to discovery
     back_off_most: float = 1.0        # and the longest wait
     look: float = 1.0                 # between looks for idle connections
+    linger: float = 0.5               # for what a client still sends after a frame of no form
+    out_of_descriptors: float = 0.01  # between tries to accept when there are none left
     change_over: float = 0.5          # after SIGTERM, clients are served as if nothing were the matter for so long
+    let_go: float = 0.05              # and then, between looks for clients that are owed nothing
     log_lines: int = 1000             # log lines that wait for a slow reader; what comes on top is dropped
 
     @classmethod
@@ -46,4 +51,4 @@
     @property
     def client_room(self):
         """How many clients can be connected before idle ones are shed."""
-        return self.sockets - self.reserve
+        return self.sockets - self.reserve - self.host_floor
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -18,9 +18,10 @@
 class Node:
     """A gateway that serves until it is told to end."""
 
-    def __init__(self, config, log_descriptor=1, limits=None):
+    def __init__(self, config, log_descriptor=1, limits=None, scheduler=None):
         self.config, self.limits = config, limits or Limits.of(config)
-        self.scheduler = Scheduler(lambda error: self.log.fault(error))
+        self.scheduler = scheduler or Scheduler()
+        self.scheduler.fault = lambda error: self.log.fault(error)
         self.log = Logger(log_descriptor, config.name, self.scheduler.now, self.limits.log_lines)
         self.driver = Driver(config, self.scheduler, self.log)
         self.server = Server(self.scheduler, self.limits, self.log, self.driver.place, self.driver.left,
@@ -35,23 +36,29 @@
 
     def run(self):
         """Serve until `end`, and until all that was taken is answered."""
-        self.driver.start(self.config.known)
-        self.scheduler.spawn(self.discovery.run)
-        self.server.listen(self.config.listen)
-        self.log.event("started", listen="%s:%d" % self.config.listen, hosts=len(self.driver.hosts))
+        self.start()
         gc.collect()
         gc.freeze()
         self.scheduler.run()
         self.log.event("ended")
+        self.log.flush()
+
+    def start(self):
+        """Listen, and watch the host list; the scheduler does the rest."""
+        self.driver.start(self.config.known)
+        self.scheduler.spawn(self.discovery.run)
+        self.server.listen(self.config.listen)
+        self.log.event("started", listen="%s:%d" % self.config.listen, hosts=len(self.driver.hosts))
 
-    def end_on(self, number=signal.SIGTERM):
-        """End on a signal, which must wake the poll."""
+    def end_on(self, *numbers):
+        """End on these signals, which must wake the poll."""
         ours, theirs = socket.socketpair()
         for sock in (ours, theirs):
             sock.setblocking(False)
         self.signals = ours, theirs
         signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
-        signal.signal(number, lambda *_: None)
+        for number in numbers:
+            signal.signal(number, lambda *_: None)
 
         def rung(events):
             ours.recv(64)
--- a/petrellane/net/resp.py
+++ b/petrellane/net/resp.py
@@ -55,7 +55,7 @@
     count = whole(buffer, at, end)
     if not 1 <= count <= limits.parts:
         raise Malformed(f"array of {count} parts, expected 1 to {limits.parts}")
-    spans, at = [], end + 2
+    spans, begin, at = [], at, end + 2
     for _ in range(count):
         if len(buffer) <= at:
             return None
@@ -68,6 +68,8 @@
             raise Malformed("null in a command")
         spans.append(found[0])
         at = found[1]
+        if at - begin > limits.frame:
+            raise Malformed(f"command of more than {limits.frame} bytes")
     return spans, at
 
 
@@ -92,7 +94,7 @@
         return kind, None, end + 2
     if not 0 <= count <= limits.parts:
         raise Malformed(f"array of {count} parts, expected at most {limits.parts}")
-    items, at = [], end + 2
+    items, begin, at = [], at, end + 2
     for _ in range(count):
         found = answer(buffer, at, limits)
         if found is None:
@@ -101,6 +103,8 @@
             raise Malformed("array in an array")
         items.append(found[1])
         at = found[2]
+        if at - begin > limits.frame:
+            raise Malformed(f"answer of more than {limits.frame} bytes")
     return kind, items, at
 
 
--- a/petrellane/net/scheduler.py
+++ b/petrellane/net/scheduler.py
@@ -23,19 +23,20 @@
     """One thread's greenlets. Descriptors are watched for as long as they are registered; what is ready is told
     to the call that was registered with it. A greenlet that waits is resumed by such a call or by a timer."""
 
-    def __init__(self, fault):
-        self.fault = fault               # told of exceptions that nothing else caught
+    def __init__(self, monotonic=time.monotonic):
+        self.fault = print               # told of exceptions that nothing else caught
+        self.monotonic = monotonic
         self.hub = greenlet.getcurrent()
         self.poll = select.poll()
         self.calls = {}                  # descriptor -> what to call with its events
         self.timers, self.order = [], itertools.count()
         self.ready = []                  # calls for the end of this turn
         self.running = False
-        self.offset = time.time() - time.monotonic()
+        self.offset = time.time() - monotonic()
 
     def now(self):
         """Unix time, anchored once and stepped by the monotonic clock."""
-        return self.offset + time.monotonic()
+        return self.offset + self.monotonic()
 
     def register(self, descriptor, events, call):
         self.calls[descriptor] = call
@@ -55,7 +56,7 @@
     def after(self, seconds, call):
         """Make a call after some seconds."""
         timer = Timer(call)
-        heapq.heappush(self.timers, (time.monotonic() + seconds, next(self.order), timer))
+        heapq.heappush(self.timers, (self.monotonic() + seconds, next(self.order), timer))
         return timer
 
     def spawn(self, call, *words):
@@ -75,15 +76,19 @@
         """Serve until stopped."""
         self.running = True
         while self.running:
-            for descriptor, events in self.poll.poll(self.pause()):
-                call = self.calls.get(descriptor)
-                if call:
-                    self.attempt(call, (events,))
-            self.ring()
-            while self.ready:
-                ready, self.ready = self.ready, []
-                for call, words in ready:
-                    self.attempt(call, words)
+            self.turn(self.pause())
+
+    def turn(self, most):
+        """Wait for at most so many milliseconds, then do all that is due."""
+        for descriptor, events in self.poll.poll(most):
+            call = self.calls.get(descriptor)
+            if call:
+                self.attempt(call, (events,))
+        self.ring()
+        while self.ready:
+            ready, self.ready = self.ready, []
+            for call, words in ready:
+                self.attempt(call, words)
 
     def stop(self):
         self.running = False
@@ -96,11 +101,11 @@
             return 0
         if not self.timers:
             return None
-        return max(0, int((self.timers[0][0] - time.monotonic()) * 1000 + 0.999))
+        return max(0, int((self.timers[0][0] - self.monotonic()) * 1000 + 0.999))
 
     def ring(self):
         """Make the calls that are due."""
-        until = time.monotonic()
+        until = self.monotonic()
         while self.timers and self.timers[0][0] <= until:
             call = heapq.heappop(self.timers)[2].call
             if call:
--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -1,6 +1,7 @@
 """The client side: accepts connections, reads commands, writes the answers in the order of the commands."""
 
 import errno
+import math
 import select
 import socket
 from collections import deque
@@ -33,7 +34,11 @@
         sock.bind(address)
         sock.listen(self.limits.backlog)
         self.listener = sock
-        self.scheduler.register(sock.fileno(), select.POLLIN, self.accept)
+        self.attend()
+
+    def attend(self):
+        if self.listener:
+            self.scheduler.register(self.listener.fileno(), select.POLLIN, self.accept)
 
     def accept(self, events=0):
         for _ in range(self.limits.accepts):
@@ -45,7 +50,9 @@
                 if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     self.log.event("no_descriptor", clients=len(self.clients), error=str(trouble))
                     self.shed()
-                    self.make_room(1)
+                    self.make_room(self.limits.reserve)
+                    self.scheduler.unregister(self.listener.fileno())
+                    self.scheduler.after(self.limits.out_of_descriptors, self.attend)
                 return
             client = Client(self, Stream(self.scheduler, self.limits, sock))
             self.clients[client] = None
@@ -65,19 +72,19 @@
     def end(self, ended):
         """Let clients go as soon as each has all its answers, then tell `ended`."""
         self.ending, self.ended = True, ended
+        self.let_go()
+
+    def let_go(self):
         for client in list(self.clients):
             client.let_go()
-        self.check_end()
-
-    def check_end(self):
-        if not self.ending or self.clients or not self.listener:
-            return
-        self.accept()    # whoever came in the meantime is served
         if not self.clients:
-            self.scheduler.unregister(self.listener.fileno())
-            self.listener.close()
-            self.listener = None
-            self.ended()
+            self.accept()    # whoever came in the meantime is served
+        if self.clients:
+            self.scheduler.after(self.limits.let_go, self.let_go)
+            return
+        self.listener.close()
+        self.listener = None
+        self.ended()
 
 
 class Client:
@@ -98,12 +105,7 @@
         except resp.Malformed as trouble:
             self.closing = True
             self.reply(error(str(trouble)))
-            try:
-                while True:    # what it sends now is of no form; it is read so that our answer is not lost
-                    self.stream.buffer.clear()
-                    self.stream.fill()
-            except Closed:
-                pass
+            self.pass_over()
         except Closed:
             pass
         finally:
@@ -113,7 +115,21 @@
                 if reply.answer is None:
                     self.server.left(reply)
             self.owed.clear()
-            self.server.check_end()
+
+    def pass_over(self):
+        """Read what follows a frame of no form, for a while: a reset would take our answers with it."""
+        until = math.inf
+        try:
+            while (now := self.server.scheduler.now()) < until:
+                if not self.owed and until == math.inf:
+                    until = now + self.server.limits.linger
+                self.stream.buffer.clear()
+                try:
+                    self.stream.fill(self.server.limits.linger)
+                except TimeoutError:
+                    pass
+        except Closed:
+            pass
 
     def read(self):
         """Take all commands that have come whole."""
@@ -164,5 +180,7 @@
 
     def let_go(self):
         """Close a connection that is to end, when nothing is owed on it."""
-        if self.closing and not self.owed and not self.stream.unsent or self.server.ending and self.idle():
+        if self.closing and not self.owed and not self.stream.unsent:
+            self.stream.finish()
+        elif self.server.ending and self.idle():
             self.stream.close()
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -6,7 +6,7 @@
 
 import greenlet
 
-READ = select.POLLIN | select.POLLPRI
+READ = select.POLLIN
 WRITE = select.POLLOUT
 GATHERED = 64    # buffers that one call hands to the socket; the system takes 1024
 
@@ -142,6 +142,13 @@
             pass
         return False
 
+    def finish(self):
+        """End our sending; what the peer still sends can be read."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
     def close(self):
         """End the connection at once; its reader, if another greenlet, ends with Closed."""
         if self.sock.fileno() < 0:
--- a/petrellane/net/upstream.py
+++ b/petrellane/net/upstream.py
@@ -27,7 +27,7 @@
 
     def __init__(self, pool):
         self.pool, self.stream, self.out = pool, None, deque()
-        self.idle_since, self.retiring = 0.0, False
+        self.idle_since, self.retiring, self.ended = 0.0, False, False
 
     def run(self):
         """Dial, then read answers until the connection ends."""
@@ -65,29 +65,31 @@
             if not self.out:
                 raise resp.Malformed("an answer to nothing")
             attempt = self.out[0]
-            outcome, value, used, report = self.meaning(kind, content)
+            outcome, value, figures = self.meaning(kind, content)
             del buffer[:end]
             self.out.popleft()
-            self.pool.upstream.over(attempt, outcome, value, used, report)
+            self.pool.upstream.over(attempt, outcome, value, figures)
             self.pool.free(self)
 
     def meaning(self, kind, content):
-        """What an answer says: the outcome, the value, the figures on use and the load report."""
+        """What an answer says: the outcome, the value, and the figures on use and load that came with it."""
         def taken(span):
             return bytes(self.stream.buffer[slice(*span)]) if span else b""
         if kind == 0x2A and content and content[0]:
             value, used, report = (content + [None, None])[:3]
-            return api.OK, taken(value), taken(used), taken(report)
+            return api.OK, taken(value), b",".join(filter(None, (taken(used), taken(report))))
         if kind != 0x2D:
             raise resp.Malformed("an answer out of form")
         text = taken(content)
         if text.startswith(b"BUSY"):
-            return api.FULL, b"", b"", b""
-        report = text.rpartition(b" ")[2]
-        return api.ERROR, b"", b"", report if b"=" in report else b""
+            return api.FULL, b"", b""
+        return api.ERROR, b"", b",".join(word for word in text.split(b" ") if b"=" in word)
 
     def end(self):
         """The connection is over, and what is out on it with it."""
+        if self.ended:
+            return
+        self.ended = True
         self.stream.close()
         out, self.out = self.out, deque()
         self.pool.drop(self)
@@ -243,12 +245,12 @@
             attempt.pool.queue.remove(attempt)
         self.over(attempt, api.UNREACHABLE)
 
-    def over(self, attempt, outcome, value=b"", used=b"", report=b""):
+    def over(self, attempt, outcome, value=b"", figures=b""):
         """Tell what became of an attempt, once."""
         if self.attempts.pop(attempt.call_out, None):
             if attempt.timer:
                 attempt.timer.cancel()
-            self.ended(attempt, outcome, value, used, report)
+            self.ended(attempt, outcome, value, figures)
 
     def make_room(self, more):
         """Shed idle connections until so many more fit beside the clients; False when they do not."""
@@ -261,8 +263,10 @@
         return True
 
     def look(self):
-        """Retire what has been idle for long."""
+        """Retire what has been idle for long; dial for what waits without a connection to come."""
         self.scheduler.after(self.limits.look, self.look)
         before = self.scheduler.now() - self.limits.host_idle
-        for pool in self.pools.values():
+        for pool in list(self.pools.values()):
             pool.retire(before)
+            if len(pool.queue) > pool.dials:
+                pool.assign(pool.queue.popleft())
