Tests of the whole gateway on loopback sockets, with a clock that the scenario moves

What a socket brings is waited for, with a limit that only a failure reaches; times are moved by the scenario alone.

--- a/tests/runner.py
+++ b/tests/runner.py
@@ -1,5 +1,7 @@
-"""Play the scenarios of tests/scenarios against petrellane.choice alone; the notation is in tests/README.md."""
+"""Play the scenarios of tests/scenarios against petrellane.choice alone, and those of tests/sockets against a whole
+gateway; the notation is in tests/README.md."""
 
+import contextlib
 import pathlib
 import random
 import re
@@ -8,6 +10,7 @@
 
 from petrellane import interface as api
 from petrellane.choice import Gateway
+from tests.sockets import Net
 
 SETTINGS = dict(zone="z1", counter=True, counter_timeout=0.05, max_call_outs=4, may_cancel=True, max_wait=0.5,
                 cold=10.0, cold_from=0.25, overload_for=1.0, cross_zone=0.0, must_ask=False)
@@ -24,6 +27,17 @@
     return {name: value(text) for name, text in (word.split("=", 1) for word in words)}
 
 
+def play(scene, path):
+    """Play the steps of a file, several with `;` between, one after the other."""
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        for step in line.split("#")[0].split(";"):
+            verb, *words = step.split() or [""]
+            try:
+                getattr(scene, "do_" + verb.replace("-", "_"))(*words) if verb else None
+            except (AssertionError, LookupError) as error:
+                raise AssertionError(f"{path.name}:{number}: {step.strip()}: {error!r}") from None
+
+
 class Scene:
     """One scenario: the gateway under test, and what it has said since the last `do` line."""
 
@@ -32,14 +46,8 @@
         self.methods, self.plans, self.customers, self.hosts, self.rpcs = {}, {}, {}, {}, {}
         self.adds, self.wakes, self.said, self.log, self.ledger = [], [], [], [], {}
 
-    def play(self, path):
-        for number, line in enumerate(path.read_text().splitlines(), 1):
-            for step in line.split("#")[0].split(";"):
-                verb, *words = step.split() or [""]
-                try:
-                    getattr(self, "do_" + verb)(*words) if verb else None
-                except (AssertionError, LookupError) as error:
-                    raise AssertionError(f"{path.name}:{number}: {step.strip()}: {error}") from None
+    def close(self):
+        """Nothing to give back."""
 
     def take(self, steps):
         for step in steps:
@@ -205,20 +213,27 @@
     """Each scenario file, played with several seeds: what it expects must not hang on one draw."""
 
 
-def test_of(path):
+class Sockets(unittest.TestCase):
+    """The scenarios of a whole gateway on sockets."""
+
+
+def test_of(path, scene, seeds):
     def test(self):
-        for seed in range(5):
-            Scene(random.Random(f"{path.name} {seed}").getrandbits(32)).play(path)
+        for seed in range(seeds):
+            with contextlib.closing(scene(random.Random(f"{path.name} {seed}").getrandbits(32))) as playing:
+                play(playing, path)
     return test
 
 
-for scenario in sorted(pathlib.Path(__file__).parent.glob("scenarios/*.txt")):
-    setattr(Scenarios, "test_" + scenario.stem.replace("-", "_"), test_of(scenario))
+for case, scene, folder, seeds in ((Scenarios, Scene, "scenarios", 5), (Sockets, Net, "sockets", 1)):
+    for scenario in sorted((pathlib.Path(__file__).parent / folder).glob("*.txt")):
+        setattr(case, "test_" + scenario.stem.replace("-", "_"), test_of(scenario, scene, seeds))
 
 
 def main():
     """Run all scenarios and close with the plain line that counts them."""
-    result = unittest.TextTestRunner(verbosity=1).run(unittest.defaultTestLoader.loadTestsFromTestCase(Scenarios))
+    load = unittest.defaultTestLoader.loadTestsFromTestCase
+    result = unittest.TextTestRunner(verbosity=1).run(unittest.TestSuite([load(Scenarios), load(Sockets)]))
     failed = len(result.failures) + len(result.errors)
     print(f"{result.testsRun - failed} passed, {failed} failed")
     return 1 if failed or not result.testsRun else 0
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,404 @@
+"""Play the scenarios of tests/sockets: a whole gateway on loopback sockets, with its clients, hosts, counter and
+discovery in the scenario's hands and a clock that only the scenario moves. The notation is in tests/README.md."""
+
+import copy
+import io
+import json
+import os
+import re
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+from petrellane import config
+from petrellane.net import resp
+from petrellane.net.limits import Limits
+from petrellane.net.node import Node
+from petrellane.net.scheduler import Scheduler
+
+PATIENCE = 20.0    # seconds of real time after which what is expected counts as never coming
+TOLD = {
+    "name": "g1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "counter": "127.0.0.1:1", "seed": "5eed",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+    "known": {"index": 1, "snapshot": True, "endpoints": []},
+    "settings": {
+        "classes": [
+            {"name": "look", "effect": "pure", "goalTime": 1000000, "giveUp": 4000000, "worth": 1.0, "lateWorth": 0.5},
+            {"name": "lodge", "effect": "token", "keyScope": "all", "window": 4000000, "goalTime": 1000000,
+             "giveUp": 4000000, "worth": 1.0, "lateWorth": 0.5},
+            {"name": "post", "effect": "side_effect", "goalTime": 1000000, "giveUp": 4000000, "worth": 1.0}],
+        "contracts": [{"name": "basic", "quotaRate": 50, "storeSize": 100, "pays": 1.0}],
+        "familyInfo": {"mayCount": True, "counterTimeout": 80000},
+        "limits": {"connIdle": 30000000, "dialTimeout": 250000, "maxAttempts": 4, "mayCancel": True,
+                   "retryAfter": True, "maxRetryAfter": 500000, "streamsPerConn": 4},
+        "obligations": {"cold": 0, "coldFrom": 1.0}, "discovery": "push"}}
+
+
+def unescape(text):
+    """\\r, \\n and \\s in a scenario, and {N} for so many letters x."""
+    text = text.replace("\\r", "\r").replace("\\n", "\n").replace("\\s", " ")
+    return re.sub(r"\{(\d+)\}", lambda found: "x" * int(found[1]), text).encode("latin-1")
+
+
+def changed(told, words):
+    """The configuration with KEY.KEY=JSON words applied."""
+    told = copy.deepcopy(told)
+    for word in words:
+        path, value = word.split("=", 1)
+        *steps, last = [int(step) if step.isdigit() else step for step in path.split(".")]
+        place = told
+        for step in steps:
+            place = place[step]
+        place[last] = json.loads(value)
+    return told
+
+
+class Peer:
+    """One socket in the scenario's hands, and what came on it."""
+
+    def __init__(self, sock, at=None):
+        sock.setblocking(False)
+        self.sock, self.at, self.buffer, self.ended = sock, at, bytearray(), False
+
+    def read(self):
+        try:
+            while not self.ended and (data := self.sock.recv(1 << 20)):
+                self.buffer += data
+            self.ended = True
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.ended = True
+
+    def parse(self, parser, limits):
+        """The next command or answer, if it is all there, as its parsed form over bytes of its own."""
+        if self.buffer and (found := parser(self.buffer, 0, limits)):
+            taken = bytes(self.buffer[:found[-1]])
+            del self.buffer[:found[-1]]
+            return found, taken
+        return None
+
+    def reset(self):
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+        self.ended = True
+
+
+class Net:
+    """One scenario: a gateway, and all that it talks to."""
+
+    def __init__(self, seed):
+        self.time, self.seed, self.node = 1000.0, seed, None
+        self.listeners, self.peers, self.clients, self.taken, self.outcomes = {}, [], {}, {}, {}
+        self.counter, self.totals, self.watch, self.index, self.ended = "on", {}, None, 1, False
+        self.fill = []    # connections that stand in the way at the host `full`
+        self.log, self.sent, self.added, self.limits = tempfile.TemporaryFile(), {}, [], {}
+
+    def close(self):
+        for sock in [*self.fill, *self.listeners.values(), *(peer.sock for peer in [*self.peers, *self.clients.values()])]:
+            sock.close()
+        if self.node and self.node.server.listener:
+            self.node.server.listener.close()
+        self.log.close()
+
+    def listen(self, name, backlog=64):
+        sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        sock.setblocking(False)
+        self.listeners[name] = sock
+        for _ in range(2 if name == "full" else 0):    # nobody takes these: further ones never come up
+            self.fill.append(socket.socket())
+            self.fill[-1].setblocking(False)
+            self.fill[-1].connect_ex(sock.getsockname())
+        return "127.0.0.1:%d" % sock.getsockname()[1]
+
+    def until(self, what, holds):
+        """Let everybody have their turn until something holds."""
+        limit = time.monotonic() + PATIENCE
+        while not (found := holds()):
+            assert time.monotonic() < limit, f"never came: {what}"
+            self.turn()
+        return found
+
+    def turn(self, most=1):
+        self.node.scheduler.turn(most)
+        for name, listener in self.listeners.items():
+            try:
+                while name != "full":
+                    self.peers.append(Peer(listener.accept()[0], name))
+            except OSError:
+                pass
+        for peer in self.peers:
+            peer.read()
+            if peer.at == "counter":
+                self.count(peer)
+            elif peer.at == "discovery" and b"\r\n\r\n" in peer.buffer:
+                self.watch, peer.asked = peer, bytes(peer.buffer)
+                peer.buffer.clear()
+        for client in self.clients.values():
+            client.read()
+
+    def count(self, peer):
+        while self.counter != "hold" and (found := peer.parse(resp.command, self.node.limits)):
+            spans, taken = found[0][0], found[1]
+            _, name, amount, life = [taken[slice(*span)] for span in spans]
+            assert int(life) >= 1, life
+            if self.counter == "on":
+                total = self.totals[name] = self.totals.get(name, 0.0) + float(amount)
+                answer = b"%g" % total
+                peer.sock.send(b"$%d\r\n%b\r\n" % (len(answer), answer))
+            elif self.counter == "breaks":
+                peer.reset()
+                return
+            elif self.counter != "silent":
+                peer.sock.send(unescape(self.counter) + b"\r\n")
+
+    def do_config(self, *words):
+        self.told = changed(TOLD, words)
+
+    def do_refused(self, *words):
+        try:
+            config.read(self.told)
+        except config.ConfigError as error:
+            assert " ".join(words) in str(error) and "\n" not in str(error), error
+            return
+        raise AssertionError("it was taken")
+
+    def do_command(self, name, code, *words):
+        """The command line, with the configuration of the last `config`."""
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(self.told, file)
+            file.flush()
+            ended = subprocess.run([sys.executable, "-m", "petrellane", *name.split("+")], capture_output=True,
+                                   text=True, env={**os.environ, "PROXY_CONFIG": file.name}, timeout=60)
+        said = ended.stdout + ended.stderr
+        assert ended.returncode == int(code) and " ".join(words) in said, (ended.returncode, said)
+
+    def do_limits(self, *words):
+        self.limits = {name: float(value) if "." in value else int(value)
+                       for name, value in (word.split("=") for word in words)}
+
+    def do_world(self, *words):
+        hosts = [word for word in words if "=" not in word] or ["a", "b"]
+        told = changed(TOLD, [word for word in words if "=" in word])
+        told["counter"], told["discovery"] = self.listen("counter"), self.listen("discovery")
+        told["known"]["endpoints"] = [self.entry(name, self.listen(name, 0 if name == "full" else 64)) for name in hosts]
+        told["seed"] = f"{self.seed:x}"
+        told = config.read(told)
+        limits = Limits.of(told)
+        self.node = Node(told, self.log.fileno(), Limits(**{**vars(limits), **self.limits}),
+                         Scheduler(lambda: self.time))
+        self.node.start()
+        self.node.upstream.ended = self.heard
+        self.node.driver.counter.counted = self.counted
+        self.address = self.node.server.listener.getsockname()
+        self.until("a watch", lambda: self.watch)
+
+    def entry(self, name, address, state="in_service"):
+        return {"name": name, "address": address, "zone": "z", "type": "k", "group": 1, "status": state,
+                "weight": 1.0, "since_ms": 0}
+
+    def do_connect(self, *names):
+        for name in names:
+            sock = socket.create_connection(self.address)
+            self.clients[name] = Peer(sock)
+            self.do_raw(name, "*1\\r\\n$4\\r\\nPING\\r\\n")
+            self.do_reads(name, "+PONG")
+
+    def do_raw(self, name, *text):
+        self.clients[name].sock.send(unescape(" ".join(text)))
+
+    def do_send(self, name, rpc, method, *words):
+        """One RPC; `split` sends it byte by byte, `body` gives it a body of so many bytes."""
+        given = dict(word.partition("=")[::2] for word in words)
+        split, body, who = "split" in given, int(given.pop("body", 0)), int(given.pop("who", 1))
+        fields = f"c={method},t=basic,d={given.pop('d', 2000)}"
+        given.pop("split", None)
+        fields += "".join(f",{key}={value}" for key, value in {"units": 1, "spread": 1, "first": 0, **given}.items())
+        parts = [b"SVC.QUERY" if method == "look" else b"SVC.SUBMIT", b"%016x" % who, rpc.encode(),
+                 fields.encode()] + [b"x" * body] * bool(body)
+        self.sent[rpc] = parts
+        data, client = resp.words(*parts), self.clients[name]
+        for at in range(len(data)) if split else ():
+            client.sock.send(data[at:at + 1])
+            self.turn()
+        if not split:
+            client.sock.setblocking(True)
+            client.sock.sendall(data)
+            client.sock.setblocking(False)
+        for _ in range(3):    # it is read before the clock moves
+            self.turn()
+
+    def do_many(self, number, name, method):
+        """So many RPCs that are served."""
+        for each in range(int(number)):
+            for step in ("send", name, f"many{each}", method), ("takes", f"many{each}"), \
+                    ("answers", f"many{each}", "$served"), ("reads", name, "$served"):
+                getattr(self, "do_" + step[0])(*step[1:])
+
+    def do_reads(self, name, *text):
+        """The next answer: a line by its beginning, or $VALUE."""
+        client, wanted = self.clients[name], unescape(" ".join(text))
+        found, taken = self.until(f"an answer at {name}, {text}",
+                                  lambda: client.parse(resp.answer, self.node.limits))
+        if wanted.startswith(b"$"):
+            assert found[0] == 0x24 and found[1], taken
+            assert taken[slice(*found[1])] == wanted[1:], taken[:200]
+        else:
+            assert taken.startswith(wanted), taken[:200]
+
+    def do_closed(self, *names):
+        for name in names:
+            self.until(f"the end of {name}", lambda: self.clients[name].ended)
+            assert not self.clients[name].buffer, self.clients[name].buffer
+
+    def do_open(self, *names):
+        for name in names:
+            self.do_raw(name, "*1\\r\\n$4\\r\\nPING\\r\\n")
+            self.do_reads(name, "+PONG")
+
+    def do_leave(self, name):
+        self.clients[name].sock.close()
+        self.until(f"{name} being gone", lambda: len(self.node.server.clients) < len(self.clients))
+        del self.clients[name]
+
+    def host_peers(self):
+        return [peer for peer in self.peers if peer.at not in ("counter", "discovery") and not peer.ended]
+
+    def received(self):
+        """Take in the commands that hosts have whole."""
+        for peer in self.host_peers():
+            while found := peer.parse(resp.command, self.node.limits):
+                parts = [found[1][slice(*span)] for span in found[0][0]]
+                self.taken.setdefault(parts[2].decode(), []).append((peer, parts))
+        return self.taken
+
+    def do_takes(self, rpc, *words):
+        """A host has the command whole, as the client worded it but for the time left."""
+        given = dict(word.split("=") for word in words)
+        times = int(given.get("times", 1))
+        peer, parts = self.until(f"{rpc} at a host",
+                                 lambda: len(self.received().get(rpc, ())) >= times and self.taken[rpc][times - 1])
+        wanted = [re.sub(rb"(^|,)d=\d+", b"", part) for part in self.sent[rpc]]
+        assert [re.sub(rb"(^|,)d=\d+", b"", part) for part in parts] == wanted, parts
+        left = int(re.search(rb"(?:^|,)d=(\d+)", parts[3])[1])
+        assert left <= int(given.get("most", left)) and left >= int(given.get("least", 0)), left
+        assert given.get("at", peer.at) == peer.at, peer.at
+
+    def do_untaken(self, rpc):
+        """No host has it, after everybody has had a turn."""
+        self.fence()
+        assert rpc not in self.received(), self.taken[rpc]
+
+    def fence(self):
+        for _ in range(5):
+            self.turn()
+        if "fence" not in self.clients:
+            self.do_connect("fence")
+        self.do_open("fence")
+
+    def do_answers(self, rpc, *text):
+        """Its host answers: $VALUE with figures and a load report, or a line as it is."""
+        self.time += 0.001
+        peer, data = self.taken[rpc][-1][0], unescape(" ".join(text))
+        if data.startswith(b"$"):
+            value, *figures = data[1:].split(b" ")
+            figures = (figures + [None, None])[:2]
+            data = b"*3\r\n$%d\r\n%b\r\n" % (len(value), value) + b"".join(
+                b"$%d\r\n%b\r\n" % (len(part), part) if part else b"$-1\r\n" for part in figures)
+        else:
+            data += b"\r\n"
+        peer.sock.setblocking(True)
+        peer.sock.sendall(data)
+        peer.sock.setblocking(False)
+
+    def do_breaks(self, rpc):
+        self.taken[rpc][-1][0].reset()
+
+    def do_given_up(self, rpc):
+        peer = self.taken[rpc][0][0]
+        self.until(f"the end of the connection of {rpc}", lambda: peer.ended)
+
+    def do_outcome(self, rpc, *wanted):
+        found = self.until(f"the outcome of {rpc}", lambda: self.outcomes.get(rpc, [])[len(wanted) - 1:]
+                           and self.outcomes[rpc])
+        assert found == list(wanted), found
+
+    def heard(self, attempt, outcome, *words):
+        rpc = attempt.exchange.head.split(b"\r\n")[-2].decode()
+        self.outcomes.setdefault(rpc, []).append(outcome)
+        self.node.driver.ended(attempt, outcome, *words)
+
+    def counted(self, add, outcome, total):
+        self.added.append(outcome)
+        self.node.driver.counted(add, outcome, total)
+
+    def do_added(self, *wanted):
+        """The outcomes of the adds since the last such line."""
+        self.until(f"adds that end {wanted}", lambda: len(self.added) >= len(wanted))
+        assert self.added == list(wanted), self.added
+        self.added.clear()
+
+    def do_counter(self, *mode):
+        self.counter = " ".join(mode)
+
+    def do_down(self, name):
+        """A host or the counter dies: its connections are reset, new ones refused."""
+        self.listeners.pop(name).close()
+        for peer in [peer for peer in self.peers if peer.at == name and not peer.ended]:
+            peer.reset()
+        self.fence()
+
+    def do_tells(self, state, *names):
+        """Discovery answers the watch that is out with a change."""
+        self.until("a watch", lambda: self.watch)
+        self.index += 1
+        rows = [self.entry(name, "127.0.0.1:%d" % self.listeners[name].getsockname()[1]
+                           if name in self.listeners else "127.0.0.1:1",
+                           "in_service" if state == "whole" else state) for name in names]
+        body = json.dumps({"index": self.index, "snapshot": state == "whole", "endpoints": rows}).encode()
+        self.do_says("HTTP/1.1 200 OK\\r\\nContent-Length:\\s%d\\r\\n\\r\\n%s" % (len(body), body.decode()))
+        self.until("the change", lambda: self.node.discovery.index == self.index)
+
+    def do_says(self, *text):
+        """Discovery answers the watch that is out with these bytes."""
+        watch, self.watch = self.until("a watch", lambda: self.watch), None
+        watch.sock.send(unescape(" ".join(text)))
+
+    def do_watch(self, text):
+        assert text.encode() in self.until("a watch", lambda: self.watch).asked, self.watch.asked
+
+    def do_hangs_up(self):
+        watch, self.watch = self.until("a watch", lambda: self.watch), None
+        watch.reset()
+
+    def do_wait(self, seconds):
+        """Move the clock, a step at a time."""
+        end = self.time + float(seconds)
+        while self.time < end:
+            self.time = min(end, self.time + 0.02)
+            self.turn(0)
+            self.turn(0)
+
+    def do_connections(self, at, low, high):
+        """How many connections stand at a peer, once all is still."""
+        self.fence()
+        number = self.until(f"{low} to {high} connections at {at}", lambda: [
+            count for count in [sum(peer.at == at and not peer.ended for peer in self.peers)]
+            if int(low) <= count <= int(high)])
+        assert number
+
+    def do_logged(self, event):
+        def found():
+            self.node.log.flush()
+            self.log.seek(0)
+            return [line for line in io.BytesIO(self.log.read()) if json.loads(line)["event"] == event]
+        self.until(f"a line {event}", found)
+
+    def do_term(self):
+        self.node.scheduler.running = True
+        self.node.end()
+
+    def do_ended(self):
+        self.until("the end", lambda: not self.node.scheduler.running)
