--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -350,13 +350,13 @@
         share = max(0.0, now - host.up_since) / self.cold if host.up_since and self.cold else 1.0
         return min(1.0, self.cold_from + (1 - self.cold_from) * share)
 
-    def room(self, host, health, method, now, usual):
+    def room(self, host, health, method, now, usual, lag):
         """The room a host is thought to have, in no unit but its own."""
         recent = health.recent(method, now)
         fine = (sum(sample[2] == OK for sample in recent) + 2) / (len(recent) + 2)
         load = 1 + len(health.out) / host.share / usual
         local = self.local_odds if host.zone == self.zone else 1.0
-        return local * host.share * (fine / self.behind(health, now) / load) ** 2
+        return local * host.share * (fine / lag / load) ** 2
 
     def draw(self, now, rpc, among):
         """A host for the RPC, drawn at random with odds in step with room; None when none may take it."""
@@ -372,14 +372,16 @@
                 return host
         ready = [pair for pair in ready if pair not in cold]
         poor = [pair for pair in ready if self.poor(pair[1], rpc.method, now)]
-        fair = [pair for pair in ready if pair not in poor] if poor else ready
+        fair = [pair for pair in ready if pair not in poor] or ready
         if poor and rpc.method.effect == IDEMPOTENT and not rpc.call_outs and self.random() < TRIAL:
             return self.choice(poor)[0]    # tried again with little at stake
-        pool = [pair for pair in fair or ready if self.behind(pair[1], now) < BEHIND]
+        lags = {host: self.lag(health.recent(None, now)[-8:], health.out, now) for host, health in fair}
+        pool = [pair for pair in fair if lags[pair[0]] < BEHIND]
         if not pool:
             return None    # all are silent or too far behind: more work would only be late
         usual = 1 + mean(len(health.out) / host.share for host, health in pool)
-        return self.choices(pool, [self.room(*pair, rpc.method, now, usual) for pair in pool])[0][0]
+        rooms = [self.room(*pair, rpc.method, now, usual, lags[pair[0]]) for pair in pool]
+        return self.choices(pool, rooms)[0][0]
 
     def sent(self, call_out, now):    # a call-out has gone to its host
         health = self.hosts[call_out.host]
@@ -401,16 +403,13 @@
 
     def lag(self, samples, out, now):
         """The share of its soft deadline that one more call-out is expected to take: as the last did or those
-        out have waited, in step with how many are out. Holds in any overload, also one without an answer."""
+        out have waited, in step with how many are out; fewer out helps less: other gateways send too."""
         parts = [sample[-2] for sample in samples] + PRIOR
         usual, besides = mean(parts), mean((sample[-1] for sample in samples), 1.0)
         ages = [(now - call_out.sent) / (call_out.rpc.method.soft_deadline or 1.0) for call_out in out]
         growth = (3 + len(ages)) / (3 + besides)
         return mean(parts + [age for age in ages if age > usual]) * max(growth, math.sqrt(growth))
 
-    def behind(self, health, now):    # the lag of a host; fewer out helps less: other gateways send too
-        return self.lag(health.recent(None, now)[-8:], health.out, now)
-
     def pressure(self, now):
         """How pressed the hosts are, by the last call-outs wherever they went, as we may hear little of
         each host: 0 at ease, full where a host would rest."""
--- a/petrellane/cli.py
+++ b/petrellane/cli.py
@@ -11,7 +11,8 @@
 from petrellane.net.node import Node
 
 app = typer.Typer(help="An admission gateway that leases customers' credit from a shared count.",
-                  no_args_is_help=True, add_completion=False)
+                  no_args_is_help=True, add_completion=False, rich_markup_mode=None,
+                  pretty_exceptions_enable=False)
 
 
 def configuration():
