--- a/petrellane/net/driver.py
+++ b/petrellane/net/driver.py
@@ -97,8 +97,8 @@
         over, report = call_out.rpc not in self.exchanges, self.figures(figures)
         with self.guard(call_out.rpc):
             self.carry_out(self.gateway.again(
-                now, call_out, outcome, over=over, took=max(1e-6, now - call_out.sent), usage=int(report.pop("used", -1)) + 1,
-                units=report.pop("cost", 0.0), report=report))
+                now, call_out, outcome, over=over, took=max(1e-6, now - call_out.sent),
+                usage=int(report.pop("used", -1)) + 1, units=report.pop("cost", 0.0), report=report))
 
     @staticmethod
     def figures(text):
--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -25,7 +25,7 @@
         self.scheduler, self.limits, self.log = scheduler, limits, log
         self.place, self.left, self.make_room = place, left, make_room
         self.clients = {}    # connected ones, in the order of their last command
-        self.listener, self.ending, self.ended = None, False, None
+        self.listener, self.ending, self.ended, self.starved = None, False, None, 0.0
 
     def listen(self, address):
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -48,11 +48,7 @@
                 return
             except OSError as trouble:
                 if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self.log.event("no_descriptor", clients=len(self.clients), error=str(trouble))
-                    self.shed()
-                    self.make_room(self.limits.reserve)
-                    self.scheduler.unregister(self.listener.fileno())
-                    self.scheduler.after(self.limits.out_of_descriptors, self.attend)
+                    self.make_way(trouble)
                 return
             client = Client(self, Stream(self.scheduler, self.limits, sock))
             self.clients[client] = None
@@ -61,6 +57,17 @@
             self.make_room(0)
             self.scheduler.spawn(client.run)
 
+    def make_way(self, trouble):
+        """No descriptor is left: free some and accept again soon, with a line a second at most."""
+        now = self.scheduler.now()
+        if now - self.starved >= self.limits.look:
+            self.starved = now
+            self.log.event("no_descriptor", clients=len(self.clients), error=str(trouble))
+        self.shed()
+        self.make_room(self.limits.reserve)
+        self.scheduler.unregister(self.listener.fileno())
+        self.scheduler.after(self.limits.out_of_descriptors, self.attend)
+
     def shed(self):
         """Close the connection that has been idle for longest."""
         for client in self.clients:
