A freed connection serves the retry; accepting pauses once when out of descriptors

Found by reading: an answer told the module before its connection was free, so a retry to the same host dialled a new one (Connection.read); two pauses of accepting could overlap, and the second unregistered the listener twice, which would have stopped the end (Server.make_way); an end waited for ever for a client with half a command. Each has its line in tests/sockets.

--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -34,7 +34,8 @@
     linger: float = 0.5               # for what a client still sends after a frame of no form
     out_of_descriptors: float = 0.01  # between tries to accept when there are none left
     change_over: float = 0.5          # after SIGTERM, clients are served as if nothing were the matter for so long
-    let_go: float = 0.05              # and then, between looks for clients that are owed nothing
+    ending_most: float = 15.0         # and then, for the clients that never let go of us
+    let_go: float = 0.05              # between looks for clients that are owed nothing
     log_lines: int = 1000             # log lines that wait for a slow reader; what comes on top is dropped
 
     @classmethod
--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -25,7 +25,8 @@
         self.scheduler, self.limits, self.log = scheduler, limits, log
         self.place, self.left, self.make_room = place, left, make_room
         self.clients = {}    # connected ones, in the order of their last command
-        self.listener, self.ending, self.ended, self.starved = None, False, None, 0.0
+        self.listener, self.attending, self.starved = None, False, 0.0
+        self.ending, self.ended, self.until = False, None, 0.0
 
     def listen(self, address):
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -38,6 +39,7 @@
 
     def attend(self):
         if self.listener:
+            self.attending = True
             self.scheduler.register(self.listener.fileno(), select.POLLIN, self.accept)
 
     def accept(self, events=0):
@@ -65,8 +67,10 @@
             self.log.event("no_descriptor", clients=len(self.clients), error=str(trouble))
         self.shed()
         self.make_room(self.limits.reserve)
-        self.scheduler.unregister(self.listener.fileno())
-        self.scheduler.after(self.limits.out_of_descriptors, self.attend)
+        if self.attending:
+            self.attending = False
+            self.scheduler.unregister(self.listener.fileno())
+            self.scheduler.after(self.limits.out_of_descriptors, self.attend)
 
     def shed(self):
         """Close the connection that has been idle for longest."""
@@ -78,7 +82,7 @@
 
     def end(self, ended):
         """Let clients go as soon as each has all its answers, then tell `ended`."""
-        self.ending, self.ended = True, ended
+        self.ending, self.ended, self.until = True, ended, self.scheduler.now() + self.limits.ending_most
         self.let_go()
 
     def let_go(self):
@@ -86,9 +90,11 @@
             client.let_go()
         if not self.clients:
             self.accept()    # whoever came in the meantime is served
-        if self.clients:
+        if self.clients and self.scheduler.now() < self.until:
             self.scheduler.after(self.limits.let_go, self.let_go)
             return
+        if self.attending:
+            self.scheduler.unregister(self.listener.fileno())
         self.listener.close()
         self.listener = None
         self.ended()
--- a/petrellane/net/upstream.py
+++ b/petrellane/net/upstream.py
@@ -68,8 +68,8 @@
             outcome, value, figures = self.meaning(kind, content)
             del buffer[:end]
             self.out.popleft()
+            self.pool.free(self)    # first, since what follows may be for this host as well
             self.pool.upstream.over(attempt, outcome, value, figures)
-            self.pool.free(self)
 
     def meaning(self, kind, content):
         """What an answer says: the outcome, the value, and the figures on use and load that came with it."""
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -2,6 +2,7 @@
 discovery in the scenario's hands and a clock that only the scenario moves. The notation is in tests/README.md."""
 
 import copy
+import errno
 import io
 import json
 import os
@@ -166,12 +167,14 @@
         raise AssertionError("it was taken")
 
     def do_command(self, name, code, *words):
-        """The command line, with the configuration of the last `config`."""
+        """The command line, with the configuration of the last `config` and these PROXY_* variables."""
+        given = dict(word.split("=", 1) for word in words if word.startswith("PROXY_") and "=" in word)
+        words = [word for word in words if word.partition("=")[0] not in given]
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
             json.dump(self.told, file)
             file.flush()
             ended = subprocess.run([sys.executable, "-m", "petrellane", *name.split("+")], capture_output=True,
-                                   text=True, env={**os.environ, "PROXY_CONFIG": file.name}, timeout=60)
+                                   text=True, env={**os.environ, "PROXY_CONFIG": file.name, **given}, timeout=60)
         said = ended.stdout + ended.stderr
         assert ended.returncode == int(code) and " ".join(words) in said, (ended.returncode, said)
 
@@ -206,6 +209,25 @@
             self.do_raw(name, "*1\\r\\n$4\\r\\nPING\\r\\n")
             self.do_reads(name, "+PONG")
 
+    def do_starve(self, name):
+        """A client comes while there is no descriptor left, and is served once there is."""
+        listener = self.node.server.listener
+
+        class Starved:
+            fileno = listener.fileno
+            times = 0
+
+            def accept(self):
+                self.times += 1
+                raise OSError(errno.EMFILE, "no descriptor")
+        starved = self.node.server.listener = Starved()
+        self.clients[name] = Peer(socket.create_connection(self.address))
+        self.do_logged("no_descriptor")
+        self.do_wait(0.2)
+        assert 2 <= starved.times <= 20, starved.times    # neither given up nor tried without a pause
+        self.node.server.listener = listener
+        self.do_wait(0.05)
+
     def do_raw(self, name, *text):
         self.clients[name].sock.send(unescape(" ".join(text)))
 
