--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -423,7 +423,7 @@
     """Asked and answers: where an RPC goes, whether to go again, how long to wait."""
 
     def __init__(self, *, seed, zone, counter, counter_timeout, max_call_outs, may_cancel, max_wait, cold,
-                 cold_from, overload_for, cross_zone, must_ask):
+                 cold_from, cross_zone, must_ask):
         rng = random.Random(seed)
         self.random, self.must_ask = rng.random, must_ask
         self.max_call_outs, self.may_cancel, self.max_wait = max_call_outs, may_cancel, max_wait
--- a/petrellane/config.py
+++ b/petrellane/config.py
@@ -120,7 +120,6 @@
             max_call_outs=limits.whole("maxAttempts", 1, 1), may_cancel=limits.flag("mayCancel"),
             max_wait=limits.seconds("maxRetryAfter") if limits.flag("retryAfter") else 0.0,
             cold=rules.seconds("cold"), cold_from=rules.number("coldFrom", 1.0),
-            overload_for=rules.seconds("overloadFor"),
             cross_zone=told.section("prices", {}).number("crossZone", 0.0),
             must_ask=told.text("discovery", "push") == "ask"))
 
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -13,7 +13,7 @@
 from tests.sockets import Net
 
 SETTINGS = dict(zone="z1", counter=True, counter_timeout=0.05, max_call_outs=4, may_cancel=True, max_wait=0.5,
-                cold=10.0, cold_from=0.25, overload_for=1.0, cross_zone=0.0, must_ask=False)
+                cold=10.0, cold_from=0.25, cross_zone=0.0, must_ask=False)
 PLAN_NAMES = dict(burst="store", ceiling="ceiling_rate", top="ceiling_burst", slack="ceiling_slack", out="max_out",
                   cost="over_cost", over="over_utility")
 METHOD_NAMES = dict(soft="soft_deadline", dl="deadline", scope="key_scope", keep="key_window", late="late_utility")
