--- a/petrellane/net/upstream.py
+++ b/petrellane/net/upstream.py
@@ -68,6 +68,7 @@
             outcome, value, figures = self.meaning(kind, content)
             del buffer[:end]
             self.out.popleft()
+            self.pool.heard = self.pool.upstream.scheduler.now()
             self.pool.free(self)    # first, since what follows may be for this host as well
             self.pool.upstream.over(attempt, outcome, value, figures)
 
@@ -101,7 +102,10 @@
             self.pool.upstream.over(attempt, outcome)
 
     def give_up(self, attempt, outcome):
-        """Stop waiting for an attempt without ending the others on the connection."""
+        """Stop waiting for an attempt without ending the others on the connection. Where the host has answered
+        nothing since it was sent, idle connections from before may be as dead: none is to swallow the next one."""
+        if self.pool.heard < attempt.call_out.sent:
+            self.pool.retire(attempt.call_out.sent)
         attempt.given_up = outcome
         self.retiring = True
         if all(other.given_up for other in self.out):
@@ -116,7 +120,7 @@
     def __init__(self, upstream, host, address):
         self.upstream, self.host, self.address = upstream, host, address
         self.idle, self.busy = deque(), {}    # the last one used is the next one used
-        self.queue, self.dials = deque(), 0
+        self.queue, self.dials, self.heard = deque(), 0, 0.0
 
     def assign(self, attempt):
         """Write an attempt to an idle connection, or let it wait for a new one, or pipeline it."""
