--- a/petrellane/net/driver.py
+++ b/petrellane/net/driver.py
@@ -1,7 +1,6 @@
 """Calls the decisions with what the sockets tell, and carries out the steps they answer with."""
 
 import math
-from contextlib import contextmanager
 from weakref import WeakValueDictionary
 
 from petrellane import interface as api
@@ -71,14 +70,12 @@
         rpc = exchange.rpc = api.Rpc(method, customer, units, now + exchange.patience, now,
                                      resent=exchange.named.get("r") == "1", write=method.effect != api.IDEMPOTENT)
         self.exchanges[rpc] = exchange
-        with self.guard(rpc):
-            self.carry_out(self.gateway.place(now, rpc))
+        self.tell(rpc, self.gateway.place, now, rpc)
 
-    @contextmanager
-    def guard(self, rpc):
-        """A fault of ours is logged, and the RPC has its answer all the same."""
+    def tell(self, rpc, call, *words, **more):
+        """Tell the module of an RPC. A fault of ours is logged, and the RPC has its answer all the same."""
         try:
-            yield
+            self.carry_out(call(*words, **more))
         except Exception as error:
             self.log.fault(error)
             self.finish(rpc, b"-ERR fault\r\n")
@@ -95,10 +92,9 @@
         if outcome == api.OK:
             self.finish(call_out.rpc, b"$%d\r\n" % len(value), value, b"\r\n")
         over, report = call_out.rpc not in self.exchanges, self.figures(figures)
-        with self.guard(call_out.rpc):
-            self.carry_out(self.gateway.again(
-                now, call_out, outcome, over=over, took=max(1e-6, now - call_out.sent),
-                usage=int(report.pop("used", -1)) + 1, units=report.pop("cost", 0.0), report=report))
+        self.tell(call_out.rpc, self.gateway.again, now, call_out, outcome, over=over,
+                  took=max(1e-6, now - call_out.sent), usage=int(report.pop("used", -1)) + 1,
+                  units=report.pop("cost", 0.0), report=report)
 
     @staticmethod
     def figures(text):
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -17,6 +17,7 @@
     frame: int = 68 * 1024            # a command or an answer in all
     unsent: int = 2 * 1024 * 1024     # what a peer may leave unread of what we write to it
     receive: int = 64 * 1024          # asked of a socket at once
+    gathered: int = 64                # buffers that one call hands to a socket
     accepts: int = 64                 # connections accepted in a row before others have their turn
     backlog: int = 1024               # connections that wait to be accepted
     reserve: int = 32                 # descriptors kept free of clients and hosts
@@ -43,7 +44,8 @@
         """The limits that a configuration sets."""
         told = config.settings
         return cls(sockets=config.sockets, dial_timeout=told.dial_timeout, host_idle=told.conn_idle / 2,
-                   streams=told.streams, counter_timeout=told.counter_timeout)
+                   streams=told.streams, counter_timeout=told.counter_timeout,
+                   unsent=int(min(cls.unsent, config.memory_mb * 2 ** 20 / 64)))
 
     def host_room(self, clients):
         """How many connections to hosts leave room for so many clients."""
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -1,5 +1,6 @@
 """A non-blocking socket with a buffer for what came and one for what could not be written yet."""
 
+import itertools
 import select
 import socket
 from collections import deque
@@ -8,7 +9,6 @@
 
 READ = select.POLLIN
 WRITE = select.POLLOUT
-GATHERED = 64    # buffers that one call hands to the socket; the system takes 1024
 
 
 class Closed(Exception):
@@ -106,7 +106,7 @@
     def flush(self):
         try:
             while self.unsent:
-                taken = self.sock.sendmsg([self.unsent[at] for at in range(min(GATHERED, len(self.unsent)))])
+                taken = self.sock.sendmsg(list(itertools.islice(self.unsent, self.limits.gathered)))
                 self.sent += taken
                 while taken:
                     piece = self.unsent[0]
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -228,6 +228,15 @@
         self.node.server.listener = listener
         self.do_wait(0.05)
 
+    def do_fault(self, name):
+        """The module's next call of this name raises."""
+        gateway, call = self.node.driver.gateway, getattr(self.node.driver.gateway, name)
+
+        def raises(*words, **more):
+            setattr(gateway, name, call)
+            raise ZeroDivisionError("a fault of ours")
+        setattr(gateway, name, raises)
+
     def do_raw(self, name, *text):
         self.clients[name].sock.send(unescape(" ".join(text)))
 
