--- a/petrellane/cli.py
+++ b/petrellane/cli.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from functools import partial
 
 import typer
 
@@ -26,9 +27,10 @@
 
 @app.command()
 def serve():
-    """Serve until SIGTERM; PROXY_CONFIG names the configuration file."""
+    """Serve until SIGTERM; PROXY_CONFIG names the configuration file, which SIGHUP has read anew."""
     node = Node(configuration())
-    node.end_on(signal.SIGTERM, signal.SIGINT)
+    node.obey({signal.SIGTERM: node.end, signal.SIGINT: node.end,
+               signal.SIGHUP: lambda: node.reload(partial(load, os.environ, again=True))})
     node.run()
 
 
--- a/petrellane/config.py
+++ b/petrellane/config.py
@@ -188,8 +188,9 @@
     settings: Settings
 
 
-def load(environ):
-    """The configuration that the PROXY_* variables name."""
+def load(environ, again=False):
+    """The configuration that the PROXY_* variables name. Read again, the file goes before the variables: they are
+    those of the start, and only the file can have changed."""
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG: missing, expected the path of a JSON file")
@@ -200,15 +201,15 @@
         raise ConfigError(f"PROXY_CONFIG: expected a readable file at {path}: {error.strerror}") from None
     except ValueError as error:
         raise ConfigError(f"PROXY_CONFIG: expected JSON in {path}: {error}") from None
-    return read(told, environ)
+    return read(told, environ, again)
 
 
-def read(told, environ=None):
-    """The configuration from its JSON; a PROXY_* variable goes before the key that says the same."""
+def read(told, environ=None, again=False):
+    """The configuration from its JSON; at a start, a PROXY_* variable goes before the key that says the same."""
     told = Section(told)
     for key in ("name", "listen", "discovery"):
         variable = "PROXY_" + key.upper()
-        if environ and environ.get(variable):
+        if environ and environ.get(variable) and not (again and told.value.get(key) is not None):
             told.value = {**told.value, key: environ[variable]}
             if key != "name":
                 address(environ[variable], variable)
--- a/petrellane/net/counter.py
+++ b/petrellane/net/counter.py
@@ -21,22 +21,25 @@
     """One connection to the counter."""
 
     def __init__(self, counter):
-        self.counter, self.stream, self.calls = counter, None, deque()
+        self.counter, self.address, self.stream, self.calls = counter, counter.address, None, deque()
         self.used = counter.scheduler.now()
 
     def run(self):
         """Dial, write what waits, and read answers until the connection ends."""
         counter = self.counter
         try:
-            self.stream = Stream.dial(counter.scheduler, counter.limits, counter.address,
+            self.stream = Stream.dial(counter.scheduler, counter.limits, self.address,
                                       counter.limits.counter_timeout)
             for call in [call for call in self.calls if call.told]:
                 self.calls.remove(call)    # its time is over, and it was never written
             for call in self.calls:
                 self.write(call)
-            while True:
+            while self in counter.links:    # it may have been ended while it dialed
                 self.read()
+                if not self.calls and self.address != counter.address:
+                    break
                 self.stream.fill()
+            self.end("not used any more")
         except (OSError, Closed, resp.Malformed) as trouble:
             self.end(str(trouble))
 
@@ -106,16 +109,29 @@
         call.timer = self.scheduler.after(self.limits.counter_timeout, partial(self.late, call))
         self.link(call.at).post(call)
 
+    def move(self, address):
+        """The counter is at another address now. What is written on old connections is settled there; what is not
+        goes to the new address."""
+        self.address, links = address, list(self.links)
+        for link in links:
+            calls, link.calls = link.calls, deque(call for call in link.calls if call.mark is not None)
+            if not link.calls:
+                link.end("not used any more")
+            for call in calls:
+                if call.mark is None and not call.told:
+                    self.link(self.scheduler.now()).post(call)
+
     def link(self, now):
         """A connection on which an answer can be expected, or a new one."""
         for link in list(self.links):
             if link.stream and not link.calls and not link.stream.quiet():
                 link.end("ended by the counter")
-        open_ones = [link for link in self.links if not link.stuck(now)]
+        here = [link for link in self.links if link.address == self.address]
+        open_ones = [link for link in here if not link.stuck(now)]
         if open_ones:
             return open_ones[0]
-        if len(self.links) >= self.limits.counter_connections:
-            self.links[0].end("silent")
+        if len(here) >= self.limits.counter_connections:
+            here[0].end("silent")
         link = Link(self)
         self.links.append(link)
         self.scheduler.spawn(link.run)
@@ -135,5 +151,5 @@
         self.scheduler.after(self.limits.look, self.look)
         before = self.scheduler.now() - self.limits.counter_idle
         for link in list(self.links):
-            if link.stream and not link.calls and link.used < before:
+            if link.stream and (not link.calls or link.address != self.address) and link.used < before:
                 link.end("idle")
--- a/petrellane/net/discovery.py
+++ b/petrellane/net/discovery.py
@@ -16,15 +16,22 @@
     def __init__(self, scheduler, limits, log, address, index, listed):
         self.scheduler, self.limits, self.log, self.address = scheduler, limits, log, address
         self.index, self.listed = index, listed
+        self.stream, self.over = None, False
+
+    def end(self):
+        """Watch no longer: whatever still comes is not told."""
+        self.over = True
+        if self.stream:
+            self.stream.close()
 
     def run(self):
-        """Watch for ever; discovery that is away is asked again with growing pauses."""
+        """Watch until the end; discovery that is away is asked again with growing pauses."""
         pause, away = self.limits.back_off_first, False
-        while True:
+        while not self.over:
             stream = None
             try:
-                stream = Stream.dial(self.scheduler, self.limits, self.address, self.limits.dial_timeout)
-                while True:
+                stream = self.stream = Stream.dial(self.scheduler, self.limits, self.address, self.limits.dial_timeout)
+                while not self.over:
                     told, lasting = self.watch(stream)
                     if away:
                         self.log.event("discovery_back", index=told.index)
@@ -35,6 +42,8 @@
                     if not told.entries:    # the watch goes on all the same; guards against answers without end
                         self.scheduler.wait(self.limits.watch_pause)
             except (OSError, Closed, Malformed, ConfigError, ValueError) as trouble:
+                if self.over:
+                    return
                 if not away:
                     self.log.event("discovery_away", error=str(trouble))
                     self.listed(None)
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -4,7 +4,9 @@
 import select
 import signal
 import socket
+from dataclasses import replace
 
+from petrellane.config import ConfigError
 from petrellane.net.counter import Counter
 from petrellane.net.discovery import Discovery
 from petrellane.net.driver import Driver
@@ -30,10 +32,12 @@
             self.scheduler, self.limits, lambda: len(self.server.clients), self.driver.ended)
         if config.counter:
             self.driver.counter = Counter(self.scheduler, self.limits, config.counter, self.driver.counted)
-        self.discovery = Discovery(self.scheduler, self.limits, self.log, config.discovery,
-                                   config.known.index if config.known.entries else None, self.driver.listed)
+        self.discovery = self.watch(config.known.index if config.known.entries else None)
         self.ending = False
 
+    def watch(self, index):
+        return Discovery(self.scheduler, self.limits, self.log, self.config.discovery, index, self.driver.listed)
+
     def run(self):
         """Serve until `end`, and until all that was taken is answered."""
         self.start()
@@ -50,21 +54,42 @@
         self.server.listen(self.config.listen)
         self.log.event("started", listen="%s:%d" % self.config.listen, hosts=len(self.driver.hosts))
 
-    def end_on(self, *numbers):
-        """End on these signals, which must wake the poll."""
+    def obey(self, signals):
+        """Make these calls, by their numbers, on signals, which must wake the poll."""
         ours, theirs = socket.socketpair()
         for sock in (ours, theirs):
             sock.setblocking(False)
         self.signals = ours, theirs
         signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
-        for number in numbers:
+        for number in signals:
             signal.signal(number, lambda *_: None)
 
         def rung(events):
-            ours.recv(64)
-            self.end()
+            for number in ours.recv(64):
+                if number in signals:
+                    signals[number]()
         self.scheduler.register(ours.fileno(), select.POLLIN, rung)
 
+    def reload(self, load):
+        """Take up what can be taken up of a configuration read anew, the addresses of discovery and the counter;
+        all else is as at the start. One that is wrong changes nothing."""
+        try:
+            config = load()
+        except ConfigError as error:
+            self.log.event("reload_refused", error=str(error))
+            return
+        counter = config.counter or self.config.counter
+        moved = [key for key, before, now in (("discovery", self.config.discovery, config.discovery),
+                                              ("counter", self.config.counter, counter)) if before and before != now]
+        self.config = replace(self.config, discovery=config.discovery, counter=counter)
+        if "counter" in moved:
+            self.driver.counter.move(counter)
+        if "discovery" in moved:    # the list is asked for whole, whatever version the old address gave
+            self.discovery.end()
+            self.discovery = self.watch(None)
+            self.scheduler.spawn(self.discovery.run)
+        self.log.event("reloaded", moved=moved)
+
     def end(self):
         """Go on as before through the change-over, let clients go when they are owed nothing, then stop."""
         if not self.ending:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -7,6 +7,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -84,6 +85,7 @@
     def reset(self):
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         self.sock.close()
+        self.buffer.clear()
         self.ended = True
 
 
@@ -94,6 +96,7 @@
         self.time, self.seed, self.node = 1000.0, seed, None
         self.listeners, self.peers, self.clients, self.taken, self.outcomes = {}, [], {}, {}, {}
         self.counter, self.totals, self.watch, self.index, self.ended = "on", {}, None, 1, False
+        self.told = None
         self.fill = []    # connections that stand in the way at the host `full`
         self.log, self.sent, self.added, self.limits = tempfile.TemporaryFile(), {}, [], {}
 
@@ -132,7 +135,7 @@
                 pass
         for peer in self.peers:
             peer.read()
-            if peer.at == "counter":
+            if peer.at.startswith("counter"):
                 self.count(peer)
             elif peer.at == "discovery" and b"\r\n\r\n" in peer.buffer:
                 self.watch, peer.asked = peer, bytes(peer.buffer)
@@ -188,6 +191,7 @@
         told["counter"], told["discovery"] = self.listen("counter"), self.listen("discovery")
         told["known"]["endpoints"] = [self.entry(name, self.listen(name, 0 if name == "full" else 64)) for name in hosts]
         told["seed"] = f"{self.seed:x}"
+        self.told = told
         told = config.read(told)
         limits = Limits.of(told)
         self.node = Node(told, self.log.fileno(), Limits(**{**vars(limits), **self.limits}),
@@ -295,7 +299,7 @@
         del self.clients[name]
 
     def host_peers(self):
-        return [peer for peer in self.peers if peer.at not in ("counter", "discovery") and not peer.ended]
+        return [peer for peer in self.peers if not peer.ended and not peer.at.startswith(("counter", "discovery"))]
 
     def received(self):
         """Take in the commands that hosts have whole."""
@@ -397,8 +401,8 @@
         watch, self.watch = self.until("a watch", lambda: self.watch), None
         watch.sock.send(unescape(" ".join(text)))
 
-    def do_watch(self, text):
-        assert text.encode() in self.until("a watch", lambda: self.watch).asked, self.watch.asked
+    def do_watch(self, *text):
+        assert " ".join(text).encode() in self.until("a watch", lambda: self.watch).asked, self.watch.asked
 
     def do_hangs_up(self):
         watch, self.watch = self.until("a watch", lambda: self.watch), None
@@ -427,6 +431,44 @@
             return [line for line in io.BytesIO(self.log.read()) if json.loads(line)["event"] == event]
         self.until(f"a line {event}", found)
 
+    def do_moves(self, *names):
+        """The configuration names new addresses of these; the old ones take no new connection. Then SIGHUP."""
+        for name in names:
+            self.listeners.pop(name).close()
+            for peer in [peer for peer in self.peers if peer.at == name]:
+                peer.at += "-old"
+            self.watch = None if name == "discovery" else self.watch
+            self.told[name] = self.listen(name)
+        self.node.reload(lambda: config.read(self.told, {"PROXY_DISCOVERY": "127.0.0.1:1"}, again=True))
+
+    def do_breaks_counter(self):
+        for peer in [peer for peer in self.peers if peer.at == "counter-old"]:
+            peer.reset()
+
+    def do_spoils(self, word):
+        """A configuration that is wrong, then SIGHUP."""
+        self.node.reload(lambda: config.read(changed(self.told, [word])))
+
+    def do_hup(self):
+        """A whole process: SIGHUP, also with a file that is wrong, then SIGTERM at once."""
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(self.told, file)
+            file.flush()
+            process = subprocess.Popen([sys.executable, "-m", "petrellane", "serve"], stdout=subprocess.PIPE,
+                                       env={**os.environ, "PROXY_CONFIG": file.name})
+            for wanted in ("started", "reloaded", "reload_refused", "reloaded", "ended"):
+                while json.loads(process.stdout.readline())["event"] != wanted:
+                    pass
+                file.seek(0)
+                file.write("not JSON" if wanted == "reloaded" else json.dumps(self.told))
+                file.truncate()
+                file.flush()
+                if wanted != "ended":
+                    process.send_signal(signal.SIGHUP)
+                if wanted == "reload_refused":
+                    process.send_signal(signal.SIGTERM)
+            assert process.wait(PATIENCE) == 0
+
     def do_term(self):
         self.node.scheduler.running = True
         self.node.end()
