--- a/petrellane/net/counter.py
+++ b/petrellane/net/counter.py
@@ -1,4 +1,5 @@
-"""The shared counter: adds are written one behind another on few connections, and end late by our own clock."""
+"""The shared counter: adds go out on few connections, each on an idle one where there is one, since an answer that is
+spoilt ends its connection and with it whatever waits behind; they end late by our own clock."""
 
 import math
 from collections import deque
@@ -122,15 +123,16 @@
                     self.link(self.scheduler.now()).post(call)
 
     def link(self, now):
-        """A connection on which an answer can be expected, or a new one."""
-        for link in list(self.links):
-            if link.stream and not link.calls and not link.stream.quiet():
-                link.end("ended by the counter")
+        """An idle connection, or a new one, or the one with the fewest calls on it."""
         here = [link for link in self.links if link.address == self.address]
-        open_ones = [link for link in here if not link.stuck(now)]
-        if open_ones:
-            return open_ones[0]
+        for link in sorted((link for link in here if not link.calls), key=lambda link: -link.used):
+            if link.stream.quiet() and not link.stream.buffer:    # the last one used first: others can be retired
+                return link
+            link.end("spoilt or ended by the counter")
+            here.remove(link)
         if len(here) >= self.limits.counter_connections:
+            if usable := [link for link in here if not link.stuck(now)]:
+                return min(usable, key=lambda link: len(link.calls))
             here[0].end("silent")
         link = Link(self)
         self.links.append(link)
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -23,7 +23,7 @@
     reserve: int = 32                 # descriptors kept free of clients and hosts
     host_connections: int = 48        # connections to one host
     host_floor: int = 128             # descriptors for hosts that idle clients have to make room for
-    counter_connections: int = 4      # connections to the counter
+    counter_connections: int = 8      # connections to the counter
     counter_idle: float = 4.0         # the counter closes idle connections after ten seconds or less
     watch_hold: float = 4.0           # how long discovery may hold a watch
     watch_grace: float = 1.0          # and how much later its answer may come
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -148,7 +148,10 @@
             spans, taken = found[0][0], found[1]
             _, name, amount, life = [taken[slice(*span)] for span in spans]
             assert int(life) >= 1, life
-            if self.counter == "on":
+            if self.counter.startswith("once "):
+                peer.sock.send(unescape(self.counter[5:]) + b"\r\n")
+                self.counter = "on"
+            elif self.counter == "on":
                 total = self.totals[name] = self.totals.get(name, 0.0) + float(amount)
                 answer = b"%g" % total
                 peer.sock.send(b"$%d\r\n%b\r\n" % (len(answer), answer))
