What comes behind an answer never meets the next attempt; fields and ids are checked

At fault: upstream.py read() freed a connection, and so wrote a queued attempt, before it looked at what came with the answer, and a part of a further answer stayed in the buffer of an idle connection; resp.py took any item of an array for a value; -BUSY was believed by its beginning. exchange.py and driver.py let pass units above the settings' most, sets beyond the gateways, ids that are open, classes under the wrong command. Also: 16 commands of a client and 16 new connections a turn; silent clients and half commands are let go after 2 s, idle clients after 30 s; figures that no host can mean are left out.

--- a/petrellane/config.py
+++ b/petrellane/config.py
@@ -100,6 +100,8 @@
     dial_timeout: float
     conn_idle: float
     streams: int
+    most_units: float
+    gateways: int
 
 
 def settings(told):
@@ -115,6 +117,7 @@
         may_count=may_count, counter_timeout=counter_timeout,
         dial_timeout=limits.seconds("dialTimeout", 1_000_000), conn_idle=limits.seconds("connIdle", 30_000_000),
         streams=limits.whole("streamsPerConn", 1, 1),
+        most_units=family.number("maxUnits", 1e9), gateways=told.whole("replicasOfMe", 1_000_000, 1),
         gateway=dict(
             zone=told.text("locality", ""), counter=may_count, counter_timeout=counter_timeout,
             max_call_outs=limits.whole("maxAttempts", 1, 1), may_cancel=limits.flag("mayCancel"),
--- a/petrellane/net/driver.py
+++ b/petrellane/net/driver.py
@@ -1,6 +1,5 @@
 """Calls the decisions with what the sockets tell, and carries out the steps they answer with."""
 
-import math
 from weakref import WeakValueDictionary
 
 from petrellane import interface as api
@@ -11,10 +10,12 @@
 class Driver:
     """The one place where the network and the module meet."""
 
-    def __init__(self, config, scheduler, log):
+    def __init__(self, config, scheduler, limits, log):
         self.settings, self.scheduler, self.log, self.now = config.settings, scheduler, log, scheduler.now
+        self.limits = limits
         self.gateway = Gateway(seed=config.seed, **config.settings.gateway)
         self.customers, self.hosts, self.exchanges = WeakValueDictionary(), {}, {}
+        self.ids = {}    # id -> exchange, while it is open
         self.upstream = self.counter = None    # set before the first event
         self.carriers = {api.CallOut: self.call_out, api.PushBack: self.push_back, api.Abort: self.abort,
                          api.Cancel: self.cancel, api.Add: self.add, api.Wake: self.wake,
@@ -61,15 +62,22 @@
             raise BadField("c: no such method")
         if plan is None:
             raise BadField("t: no such plan")
-        units, first, spread = exchange.units(), exchange.whole("first", 0, 0), exchange.whole("spread", 1, 1)
+        if exchange.query != (method.effect == api.IDEMPOTENT):
+            raise BadField("c: its method takes the other command")
+        if method.effect == api.DEDUPLICATED:
+            exchange.text("k")
+        if exchange.id in self.ids:
+            raise BadField("id: its RPC is open")
+        units, gateways = exchange.units(self.settings.most_units), self.settings.gateways
+        first, spread = exchange.whole("first", 0, 0, gateways - 1), exchange.whole("spread", 1, 1, gateways)
         name = exchange.customer.decode()
         customer = self.customers.get(name)
         if customer is None:
             customer = self.customers[name] = api.Customer(name, plan)
         customer.plan, customer.first, customer.spread = plan, first, spread
-        rpc = exchange.rpc = api.Rpc(method, customer, units, now + exchange.patience, now,
+        rpc = exchange.rpc = api.Rpc(method, customer, units, now + min(exchange.patience, method.deadline), now,
                                      resent=exchange.named.get("r") == "1", write=method.effect != api.IDEMPOTENT)
-        self.exchanges[rpc] = exchange
+        self.exchanges[rpc] = self.ids[exchange.id] = exchange
         self.tell(rpc, self.gateway.place, now, rpc)
 
     def tell(self, rpc, call, *words, **more):
@@ -82,8 +90,8 @@
 
     def left(self, exchange):
         """A client has gone away before its answer."""
-        if exchange.rpc in self.exchanges:
-            del self.exchanges[exchange.rpc]
+        if self.exchanges.pop(exchange.rpc, None):
+            del self.ids[exchange.id]
             self.carry_out(self.gateway.left(self.now(), exchange.rpc))
 
     def ended(self, attempt, outcome, value, figures):
@@ -91,14 +99,15 @@
         call_out, now = attempt.call_out, self.now()
         if outcome == api.OK:
             self.finish(call_out.rpc, b"$%d\r\n" % len(value), value, b"\r\n")
-        over, report = call_out.rpc not in self.exchanges, self.figures(figures)
+        over, report = call_out.rpc not in self.exchanges, self.figures(figures, self.limits.figure)
+        cost = report.pop("cost", 0.0)
         self.tell(call_out.rpc, self.gateway.again, now, call_out, outcome, over=over,
                   took=max(1e-6, now - call_out.sent), usage=int(report.pop("used", -1)) + 1,
-                  units=report.pop("cost", 0.0), report=report)
+                  units=cost if cost <= self.settings.most_units else 0.0, report=report)
 
     @staticmethod
-    def figures(text):
-        """Names and numbers, `a=1,b=2`; what is none is left out."""
+    def figures(text, most):
+        """Names and numbers, `a=1,b=2`; what is none, or none that a host can mean, is left out."""
         found = {}
         for part in text.decode("latin-1").split(",") if text else ():
             name, _, number = part.partition("=")
@@ -106,7 +115,7 @@
                 value = float(number)
             except ValueError:
                 continue
-            if math.isfinite(value):
+            if 0 <= value <= most:
                 found[name] = value
         return found
 
@@ -116,6 +125,7 @@
     def finish(self, rpc, *answer):
         exchange = self.exchanges.pop(rpc, None)
         if exchange:
+            del self.ids[exchange.id]
             exchange.finish(*answer)
 
     def call_out(self, step):
--- a/petrellane/net/exchange.py
+++ b/petrellane/net/exchange.py
@@ -3,7 +3,7 @@
 import re
 
 PIECES = re.compile(rb"(?:^|,)d=(\d+)(?=,|$)")
-CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+CUSTOMER = re.compile(rb"0{7}[01][0-9a-fA-F]{8}")
 
 
 class BadField(Exception):
@@ -21,17 +21,18 @@
 class Exchange(Reply):
     """One RPC as its client worded it. The client side makes it, hands it over and hears of its answer; the
     host side writes it out again, with the time that is left in place of the client's."""
-    __slots__ = ("customer", "named", "head", "before", "after", "tail", "patience", "answered", "rpc")
+    __slots__ = ("query", "customer", "id", "named", "head", "before", "after", "tail", "patience", "answered", "rpc")
 
-    def __init__(self, buffer, start, spans, end, answered):
+    def __init__(self, query, buffer, start, spans, end, answered):
         super().__init__()
         if not 4 <= len(spans) <= 5:
             raise BadField(f"expected 4 or 5 parts, found {len(spans)}")
         _, customer, rpc_id, fields = spans[:4]
+        self.query, self.id = query, bytes(buffer[slice(*rpc_id)])
         self.customer = bytes(buffer[slice(*customer)])
         if not CUSTOMER.fullmatch(self.customer):
-            raise BadField("customer: expected 16 hex digits")
-        if rpc_id[0] == rpc_id[1]:
+            raise BadField("customer: expected 16 hex digits, a number below 2^33")
+        if not self.id:
             raise BadField("id: expected text")
         text = bytes(buffer[slice(*fields)])
         time = PIECES.search(text)
@@ -51,23 +52,23 @@
             raise BadField(f"{name}: missing")
         return value
 
-    def whole(self, name, default, least):
+    def whole(self, name, default, least, most):
         """A field that is a whole number."""
         value = self.named.get(name)
         if value is None:
             return default
-        if not (value.isascii() and value.isdigit() and len(value) <= 9 and int(value) >= least):
-            raise BadField(f"{name}: expected a whole number from {least}")
+        if not (value.isascii() and value.isdigit() and len(value) <= 9 and least <= int(value) <= most):
+            raise BadField(f"{name}: expected a whole number from {least} to {most}")
         return int(value)
 
-    def units(self):
+    def units(self, most):
         """What it takes from the quota."""
         try:
             units = float(self.named.get("units", "1"))
         except ValueError:
             units = -1.0
-        if not 0 <= units <= 1e9:
-            raise BadField("units: expected a number from 0")
+        if not 0 < units <= most:
+            raise BadField(f"units: expected a number above 0, at most {most:g}")
         return units
 
     def command(self, left):
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -18,7 +18,11 @@
     unsent: int = 2 * 1024 * 1024     # what a peer may leave unread of what we write to it
     receive: int = 64 * 1024          # asked of a socket at once
     gathered: int = 64                # buffers that one call hands to a socket
-    accepts: int = 64                 # connections accepted in a row before others have their turn
+    accepts: int = 16                 # connections accepted in a row before others have their turn
+    commands: int = 16                # and commands of one client
+    client_idle: float = 30.0         # a client that is owed nothing and says nothing for so long is let go
+    client_silent: float = 2.0        # and one that has said nothing yet after this
+    half_command: float = 2.0         # a command that has begun has come whole by then
     backlog: int = 1024               # connections that wait to be accepted
     reserve: int = 32                 # descriptors kept free of clients and hosts
     host_connections: int = 48        # connections to one host
@@ -31,6 +35,7 @@
     list_size: int = 8 * 1024 * 1024  # a host list
     back_off_first: float = 0.1       # wait before the first new connection to discovery
     back_off_most: float = 1.0        # and the longest wait
+    figure: float = 1e9               # a figure on use or load; more is no figure
     look: float = 1.0                 # between looks for idle connections
     linger: float = 0.5               # for what a client still sends after a frame of no form
     out_of_descriptors: float = 0.01  # between tries to accept when there are none left
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -25,7 +25,7 @@
         self.scheduler = scheduler or Scheduler()
         self.scheduler.fault = lambda error: self.log.fault(error)
         self.log = Logger(log_descriptor, config.name, self.scheduler.now, self.limits.log_lines)
-        self.driver = Driver(config, self.scheduler, self.log)
+        self.driver = Driver(config, self.scheduler, self.limits, self.log)
         self.server = Server(self.scheduler, self.limits, self.log, self.driver.place, self.driver.left,
                              lambda more: self.upstream.make_room(more))
         self.upstream = self.driver.upstream = Upstream(
--- a/petrellane/net/resp.py
+++ b/petrellane/net/resp.py
@@ -74,8 +74,9 @@
 
 
 def answer(buffer, at, limits):
-    """An answer as (kind, content, end), kind being the type byte: the span of a line or a bulk string, or a list
-    of these for an array, None for a null. None when it is not all there."""
+    """An answer as (kind, content, end), kind being the type byte: the span of a line or a bulk string, None for a
+    null, or for an array a list of the spans of its bulk strings, None for any other item. None when it is not all
+    there."""
     if len(buffer) <= at:
         return None
     kind = buffer[at]
@@ -101,7 +102,7 @@
             return None
         if found[0] == 0x2A:
             raise Malformed("array in an array")
-        items.append(found[1])
+        items.append(found[1] if found[0] == 0x24 else None)
         at = found[2]
         if at - begin > limits.frame:
             raise Malformed(f"answer of more than {limits.frame} bytes")
--- a/petrellane/net/scheduler.py
+++ b/petrellane/net/scheduler.py
@@ -104,12 +104,13 @@
         return max(0, int((self.timers[0][0] - self.monotonic()) * 1000 + 0.999))
 
     def ring(self):
-        """Make the calls that are due."""
-        until = self.monotonic()
+        """Make the calls that are due; those they set for at once ring in the next turn."""
+        until, due = self.monotonic(), []
         while self.timers and self.timers[0][0] <= until:
-            call = heapq.heappop(self.timers)[2].call
-            if call:
-                self.attempt(call, ())
+            due.append(heapq.heappop(self.timers)[2])
+        for timer in due:
+            if timer.call:
+                self.attempt(timer.call, ())
 
     def attempt(self, call, words):
         try:
--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -10,7 +10,8 @@
 from petrellane.net.exchange import BadField, Exchange, Reply
 from petrellane.net.stream import Closed, Stream
 
-SERVED = {b"SVC.QUERY", b"SVC.SUBMIT"}
+QUERY = b"SVC.QUERY"
+SERVED = {QUERY, b"SVC.SUBMIT"}
 AT_ONCE = {b"PING": b"+PONG\r\n", b"CLIENT": b"+OK\r\n", b"SELECT": b"+OK\r\n"}
 
 
@@ -107,14 +108,23 @@
         self.server, self.stream = server, stream
         self.owed = deque()    # replies in the order of their commands
         self.closing = False   # the connection ends once all is written
+        self.spoken = False    # a whole command has come
+        self.half = None       # when a command that has begun must have come whole
 
     def run(self):
-        """Read commands until the client goes away."""
+        """Read commands until the client goes away, or is idle or in the middle of a command for too long."""
         try:
             while True:
-                self.read()
+                while self.read():    # others have their turn
+                    self.server.scheduler.wait(0)
                 self.let_go()
-                self.stream.fill()
+                try:
+                    self.stream.fill(self.patience())
+                except TimeoutError:
+                    if self.half:
+                        raise resp.Malformed("command not whole in time") from None
+                    if self.idle():
+                        return
         except resp.Malformed as trouble:
             self.closing = True
             self.reply(error(str(trouble)))
@@ -129,6 +139,15 @@
                     self.server.left(reply)
             self.owed.clear()
 
+    def patience(self):
+        """How long to wait for what comes next."""
+        limits, now = self.server.limits, self.server.scheduler.now()
+        if self.stream.buffer:
+            self.half = self.half or now + limits.half_command
+            return max(0.0, self.half - now)
+        self.half = None
+        return limits.client_idle if self.spoken else limits.client_silent
+
     def pass_over(self):
         """Read what follows a frame of no form, for a while: a reset would take our answers with it."""
         until = math.inf
@@ -145,24 +164,26 @@
             pass
 
     def read(self):
-        """Take all commands that have come whole."""
-        buffer, at, limits = self.stream.buffer, 0, self.server.limits
+        """Take commands that have come whole, a share of a turn; True when there may be more."""
+        buffer, at, limits, taken = self.stream.buffer, 0, self.server.limits, 0
         try:
-            while found := resp.command(buffer, at, limits):
+            while taken < limits.commands and (found := resp.command(buffer, at, limits)):
                 spans, end = found
                 self.take(buffer, at, spans, end)
-                at = end
+                at, taken = end, taken + 1
         finally:
             del buffer[:at]
-        if at:    # the order of clients is that of their last commands
+        if taken:    # the order of clients is that of their last commands
+            self.spoken, self.half = True, None
             self.server.clients.pop(self, None)
             self.server.clients[self] = None
+        return taken == limits.commands
 
     def take(self, buffer, start, spans, end):
         verb = bytes(buffer[slice(*spans[0])]).upper()
         if verb in SERVED:
             try:
-                exchange = Exchange(buffer, start, spans, end, self.flush)
+                exchange = Exchange(verb == QUERY, buffer, start, spans, end, self.flush)
             except BadField as trouble:
                 self.reply(error(str(trouble)))
                 return
--- a/petrellane/net/upstream.py
+++ b/petrellane/net/upstream.py
@@ -60,7 +60,7 @@
     def read(self):
         """Take the answers that have come whole."""
         buffer, limits = self.stream.buffer, self.pool.upstream.limits
-        while found := resp.answer(buffer, 0, limits):
+        while not self.ended and (found := resp.answer(buffer, 0, limits)):
             kind, content, end = found
             if not self.out:
                 raise resp.Malformed("an answer to nothing")
@@ -72,6 +72,10 @@
             self.pool.free(self)    # first, since what follows may be for this host as well
             self.pool.upstream.over(attempt, outcome, value, figures)
 
+    def clean(self):
+        """Whether nothing has come that belongs to no attempt: it would pass for the answer to the next one."""
+        return not self.stream.buffer and self.stream.quiet()
+
     def meaning(self, kind, content):
         """What an answer says: the outcome, the value, and the figures on use and load that came with it."""
         def taken(span):
@@ -79,11 +83,11 @@
         if kind == 0x2A and content and content[0]:
             value, used, report = (content + [None, None])[:3]
             return api.OK, taken(value), b",".join(filter(None, (taken(used), taken(report))))
-        if kind != 0x2D:
-            raise resp.Malformed("an answer out of form")
-        text = taken(content)
-        if text.startswith(b"BUSY"):
+        text = taken(content) if kind == 0x2D else b""
+        if text == b"BUSY" or text.startswith(b"BUSY ") and b"=" in text.split(b" ")[-1]:
             return api.FULL, b"", b""
+        if not text.startswith(b"ERR"):
+            raise resp.Malformed("an answer out of form")
         return api.ERROR, b"", b",".join(word for word in text.split(b" ") if b"=" in word)
 
     def end(self):
@@ -127,7 +131,7 @@
         limits = self.upstream.limits
         while self.idle:
             connection = self.idle.pop()
-            if connection.stream.quiet():
+            if connection.clean():
                 self.busy[connection] = None
                 connection.write(attempt)
                 return
@@ -149,6 +153,9 @@
         """A connection has come up, or an answer has come on it: the next attempt, or idle."""
         if connection.stream.broken:
             return
+        if not connection.out and not connection.clean():
+            connection.end()
+            return
         if connection.retiring or self.host.state != api.READY:
             if all(other.given_up for other in connection.out):
                 connection.end()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -216,6 +216,19 @@
             self.do_raw(name, "*1\\r\\n$4\\r\\nPING\\r\\n")
             self.do_reads(name, "+PONG")
 
+    def do_silent(self, name):
+        self.clients[name] = Peer(socket.create_connection(self.address))
+
+    def do_burst(self, name, number):
+        """So many commands at once."""
+        self.clients[name].sock.send(resp.words(b"SELECT", b"0") * int(number))
+
+    def do_behind(self, name):
+        """Not all of the burst has been answered yet, and all of it will be."""
+        assert 0 < (found := self.clients[name].buffer.count(b"+OK")) < 200, found
+        self.until("all answers", lambda: self.clients[name].buffer.count(b"+OK") == 200)
+        self.clients[name].buffer.clear()
+
     def do_starve(self, name):
         """A client comes while there is no descriptor left, and is served once there is."""
         listener = self.node.server.listener
