--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -1,8 +1,7 @@
 """Every decision of the gateway; the types it takes and returns are in petrellane/interface.py.
 
 Make one Gateway per instance from the settings, then tell it what happens: started, listed, place (an RPC
-came), again (a call-out ended), counted, left, woken. Each call takes the clock first and answers
-with a list of plain steps to carry out in order: CallOut, PushBack, Abort, Cancel, Add, Wake, Log, Subscribe.
+came), again (a call-out ended), counted, left, woken. Each call takes the clock first and answers with steps.
 """
 
 import hashlib
@@ -33,7 +32,7 @@
 PRESSED = 0.2         # hosts are pressed when a call-out is expected to take this share of its soft deadline
 BEHIND = 0.6          # pressure is full there, and a host that far behind gets nothing more
 MOST = 0.9            # share of RPCs pushed back under the highest pressure: the rest shows when it ends
-SPANS = ((64, 2.5), (16, 0.6))    # samples that tell of pressure: so many at least, and those of so many seconds
+SPANS = ((64, 2.5), (16, 0.6))    # samples that tell of pressure: at least so many, those of so many seconds
 PRIOR = [0.1, 0.1]    # shares of the soft deadline that speak for hosts of which little is known
 LOCAL = 3.0           # odds of a host in our own zone, where crossing has a price
 GO_AGAIN = 0.2        # further call-outs, as a share of the last hundred
@@ -67,7 +66,7 @@
         self.window, self.ends, self.shares = None, now, True
         self.held = self.got = self.added = self.owed = self.total = self.dry_until = 0.0
         self.carry = None    # what the window before left; unknown until asked for
-        self.out, self.part, self.left = 0, 0.0, 0.0    # part of the last ledger seen; left of a share
+        self.out, self.part, self.steady = 0, 0.0, 0.0    # our part of the last ledger, of the last two
         self.ask, self.waiting, self.single_at = None, [], now    # when a share may be one RPC
         self.since, self.demand = now, deque(maxlen=256)
         self.ceiling, self.filled = plan.ceiling_slack * self.even, born
@@ -78,17 +77,17 @@
             return
         self.window = math.floor((now + self.phase) / self.length)
         self.ends = (self.window + 1) * self.length - self.phase
-        self.part = min(1.0, self.got / self.total) if self.total else self.part
-        self.left = max(0.0, self.held) if self.shares else 0.0
+        before, self.part = self.part, min(1.0, self.got / self.total) if self.total else self.part
+        self.steady = min(before, self.part)    # counts that are lost for once make nobody's part larger
         self.held = self.got = self.added = self.owed = self.total = self.dry_until = 0.0
         self.carry, self.shares = None, True
 
     def share(self, now, silent, units):
         """Where the ledger fails: what is missing of an even share over the customer's gateways. In silence
-        at least our part of the last ledger, guarding pinned customers, and what the share before left. Less
-        than the units in hand is credit to nobody: it becomes one RPC, as seldom as shares add up to it."""
-        part, left = (max(self.even, self.part), self.left) if silent else (self.even, 0.0)
-        extra = max(0.0, self.allowance * part + left - self.got) if self.shares else 0.0
+        at least our part of the last ledger, guarding pinned customers. Less than the units in hand is credit
+        to nobody: it becomes one RPC, as seldom as shares add up to it."""
+        part = max(self.even, self.part) if silent else self.even
+        extra = max(0.0, self.allowance * part - self.got) if self.shares else 0.0
         if self.shares and self.held + extra < units and now >= self.single_at and self.got < units:
             extra = units - self.held
             self.single_at = now + units / (self.even * self.customer.plan.rate)
@@ -117,12 +116,13 @@
         return self.customer.plan.max_out and self.out >= max(1, self.customer.plan.max_out * self.even // 1)
 
     def fill_ceiling(self, now):
-        """Our even share of the ceiling's store: each keeping to its own, all keep the ceiling, whatever the
-        counter does. A life starts with a part of the slack alone: an earlier one may have used the rest."""
+        """Our even share of the ceiling's store, whatever the counter does; of what the quota needs, our
+        steady part of the ledger if more. A life starts with part of the slack: the rest may be used."""
         plan = self.customer.plan
         if plan.ceiling_rate:
-            grown = self.ceiling + (now - self.filled) * plan.ceiling_rate * self.even
-            self.ceiling, self.filled = min(grown, plan.ceiling_burst * self.even), now
+            share = max(self.even, min(self.steady, HEADROOM * plan.rate / plan.ceiling_rate))
+            grown = self.ceiling + (now - self.filled) * plan.ceiling_rate * share
+            self.ceiling, self.filled = min(grown, plan.ceiling_burst * share), now
         return self.ceiling if plan.ceiling_rate else math.inf
 
 
@@ -165,17 +165,17 @@
         asked = self.top_up(lease, now) if lease.ask is None else []
         return None, asked + [Wake(max(0.0, rpc.deadline - now), rpc)]
 
-    def top_up(self, lease, now):
+    def top_up(self, lease, now, again=False):
         """Ask the counter for more; at most one ask is out per customer and window."""
         debt, lease.owed = lease.owed, 0.0
         amount = max(0.0, lease.wanted(now) - lease.held) + debt
         lease.added += amount
-        return self.post(lease, lease.window, amount, debt) if amount else []
+        return self.post(lease, lease.window, amount, debt, again) if amount or debt or again else []
 
-    def post(self, lease, window, amount, debt=0.0):
+    def post(self, lease, window, amount, debt=0.0, again=False):
         """One ask, which our own deadline bounds; an amount of 0 only reads."""
         name = stable(f"{lease.customer.name} {window}")    # the same at every gateway and every start
-        lease.ask = Add(name, amount, min(60.0, 4 * lease.length), lease, lease.window, debt)
+        lease.ask = Add(name, amount, min(60.0, 4 * lease.length), lease, lease.window, debt, again)
         return [lease.ask, Wake(self.ask_deadline, lease.ask)]
 
     def fail(self, now, ask):
@@ -195,8 +195,7 @@
         return steps + self.decide(lease, now)
 
     def crowded(self, now):
-        """Guards customers inside their quota against a counter that is slow or turns calls away: while some
-        of the last asks failed, the even share is spent first. It might hurt where one part of it is sick."""
+        """While some of the last asks failed, the even share goes first: guards against a slow counter."""
         lately = [ok for at, ok in self.asks if now - at <= MEMORY]
         return lately.count(False) >= SILENT_AFTER and lately.count(False) > CROWDED * len(lately)
 
@@ -205,6 +204,9 @@
         lease = add.lease
         if outcome != OK:
             if lease and lease.window == add.window:
+                if outcome == ERROR and lease.ask is add and not add.again and lease.waiting:
+                    lease.owed += add.debt - add.amount    # it was added: ask once more, for the total alone
+                    return self.top_up(lease, now, True)
                 proven = outcome in PROVEN    # else it may stand for what a share let in
                 lease.added -= add.amount if proven else 0.0
                 lease.owed = max(0.0, lease.owed + (add.debt if proven else add.debt - add.amount))
@@ -225,14 +227,13 @@
             if lease.total + lease.short() <= lease.limit(now, lease.allowance):    # a carry may cover it
                 return steps + self.post(lease, lease.window - 1, 0.0)
             self.dry(lease, now)
-        again = short and now >= lease.dry_until    # the window turned, or something was carried over
-        asked = self.top_up(lease, now) if again else []
+        asked = self.top_up(lease, now) if short and now >= lease.dry_until else []    # or a carry
         return steps + (asked or self.decide(lease, now))
 
     def grant(self, lease, add, total, now, late):
         """Take from an add what lies within the allowance and give the excess back."""
         steps, limit, asked = [], lease.limit(now, lease.carry or 0.0), add.amount - add.debt
-        if not add.amount:    # a look at what the window before left
+        if not add.amount and not add.debt:    # a look at what the window before left
             lease.carry = max(0.0, lease.allowance - total)
             self.dry(lease, now)
             return []
--- a/petrellane/interface.py
+++ b/petrellane/interface.py
@@ -121,6 +121,7 @@
     lease: object = None
     window: int = 0
     debt: float = 0.0
+    again: bool = False
     settled: bool = False
 
 
--- a/petrellane/net/counter.py
+++ b/petrellane/net/counter.py
@@ -41,7 +41,11 @@
                     break
                 self.stream.fill()
             self.end("not used any more")
-        except (OSError, Closed, resp.Malformed) as trouble:
+        except resp.Malformed as trouble:
+            if self.calls:    # the answer to this one came: it was added, to what total is not known
+                counter.tell(self.calls.popleft(), api.ERROR, 0.0)
+            self.end(str(trouble))
+        except (OSError, Closed) as trouble:
             self.end(str(trouble))
 
     def post(self, call):
--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -1,6 +1,7 @@
 """The client side: accepts connections, reads commands, writes the answers in the order of the commands."""
 
 import errno
+import itertools
 import math
 import select
 import socket
@@ -26,6 +27,7 @@
         self.scheduler, self.limits, self.log = scheduler, limits, log
         self.place, self.left, self.make_room = place, left, make_room
         self.clients = {}    # connected ones, in the order of their last command
+        self.silent = {}     # those that have said nothing yet, in the order in which they came
         self.listener, self.attending, self.starved = None, False, 0.0
         self.ending, self.ended, self.until = False, None, 0.0
 
@@ -54,7 +56,7 @@
                     self.make_way(trouble)
                 return
             client = Client(self, Stream(self.scheduler, self.limits, sock))
-            self.clients[client] = None
+            self.clients[client] = self.silent[client] = None
             if len(self.clients) > self.limits.client_room:
                 self.shed()
             self.make_room(0)
@@ -74,13 +76,17 @@
             self.scheduler.after(self.limits.out_of_descriptors, self.attend)
 
     def shed(self):
-        """Close the connection that has been idle for longest."""
-        for client in self.clients:
+        """Close the connection that has been idle for longest; one that has never said anything goes first."""
+        for client in itertools.chain(self.silent, self.clients):
             if client.idle():
                 client.stream.close()
-                del self.clients[client]
+                self.forget(client)
                 return
 
+    def forget(self, client):
+        self.clients.pop(client, None)
+        self.silent.pop(client, None)
+
     def end(self, ended):
         """Let clients go as soon as each has all its answers, then tell `ended`."""
         self.ending, self.ended, self.until = True, ended, self.scheduler.now() + self.limits.ending_most
@@ -108,7 +114,6 @@
         self.server, self.stream = server, stream
         self.owed = deque()    # replies in the order of their commands
         self.closing = False   # the connection ends once all is written
-        self.spoken = False    # a whole command has come
         self.half = None       # when a command that has begun must have come whole
 
     def run(self):
@@ -133,7 +138,7 @@
             pass
         finally:
             self.stream.close()
-            self.server.clients.pop(self, None)
+            self.server.forget(self)
             for reply in self.owed:
                 if reply.answer is None:
                     self.server.left(reply)
@@ -146,7 +151,7 @@
             self.half = self.half or now + limits.half_command
             return max(0.0, self.half - now)
         self.half = None
-        return limits.client_idle if self.spoken else limits.client_silent
+        return limits.client_idle if self not in self.server.silent else limits.client_silent
 
     def pass_over(self):
         """Read what follows a frame of no form, for a while: a reset would take our answers with it."""
@@ -174,8 +179,8 @@
         finally:
             del buffer[:at]
         if taken:    # the order of clients is that of their last commands
-            self.spoken, self.half = True, None
-            self.server.clients.pop(self, None)
+            self.half = None
+            self.server.forget(self)
             self.server.clients[self] = None
         return taken == limits.commands
 
--- a/petrellane/net/upstream.py
+++ b/petrellane/net/upstream.py
@@ -26,14 +26,14 @@
     """One connection to a host; attempts are answered in the order in which they were written."""
 
     def __init__(self, pool):
-        self.pool, self.stream, self.out = pool, None, deque()
+        self.pool, self.address, self.stream, self.out = pool, pool.address, None, deque()
         self.idle_since, self.retiring, self.ended = 0.0, False, False
 
     def run(self):
         """Dial, then read answers until the connection ends."""
         upstream, pool = self.pool.upstream, self.pool
         try:
-            self.stream = Stream.dial(upstream.scheduler, upstream.limits, pool.address, upstream.limits.dial_timeout)
+            self.stream = Stream.dial(upstream.scheduler, upstream.limits, self.address, upstream.limits.dial_timeout)
         except OSError as trouble:
             upstream.open -= 1
             pool.dial_failed(self, trouble)
@@ -156,7 +156,7 @@
         if not connection.out and not connection.clean():
             connection.end()
             return
-        if connection.retiring or self.host.state != api.READY:
+        if connection.retiring or self.host.state != api.READY or connection.address != self.address:
             if all(other.given_up for other in connection.out):
                 connection.end()
             return
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -132,9 +132,9 @@
             self.ledger.clear()
             return
         given, turn = options(words), 0
-        while self.adds and (turn := turn + 1) < 20:
+        while self.adds and (turn := turn + 1) < given.get("turns", 19) + 1:
             add, total = self.adds.pop(0), 0.0
-            if outcome == api.OK:
+            if outcome in (api.OK, api.ERROR):
                 total = self.ledger[add.name] = self.ledger.get(add.name, given.get("others", 0.0)) + add.amount
             self.take(self.gateway.counted(self.now, add, outcome, total))
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -148,7 +148,8 @@
             spans, taken = found[0][0], found[1]
             _, name, amount, life = [taken[slice(*span)] for span in spans]
             assert int(life) >= 1, life
-            if self.counter.startswith("once "):
+            if self.counter.startswith("once "):    # added all the same
+                self.totals[name] = self.totals.get(name, 0.0) + float(amount)
                 peer.sock.send(unescape(self.counter[5:]) + b"\r\n")
                 self.counter = "on"
             elif self.counter == "on":
@@ -461,6 +462,14 @@
         for peer in [peer for peer in self.peers if peer.at == "counter-old"]:
             peer.reset()
 
+    def do_rehost(self, name):
+        """A host is listed at another address; the old one goes on with what it has."""
+        self.listeners.pop(name).close()
+        for peer in [peer for peer in self.peers if peer.at == name]:
+            peer.at += "-old"
+        self.listen(name)
+        self.do_tells("in_service", name)
+
     def do_spoils(self, word):
         """A configuration that is wrong, then SIGHUP."""
         self.node.reload(lambda: config.read(changed(self.told, [word])))
