--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -20,8 +20,9 @@
     gathered: int = 64                # buffers that one call hands to a socket
     accepts: int = 16                 # connections accepted in a row before others have their turn
     commands: int = 16                # and commands of one client
-    client_idle: float = 30.0         # a client that is owed nothing and says nothing for so long is let go
-    client_silent: float = 2.0        # and one that has said nothing yet after this
+    client_idle: float = 10.0         # a client that is owed nothing and says nothing for so long is let go
+    client_once: float = 2.0          # and one that has said nothing yet, or asked once, after this
+    client_settle: float = 0.25       # one that has only just come is not shed for saying nothing
     half_command: float = 2.0         # a command that has begun has come whole by then
     backlog: int = 1024               # connections that wait to be accepted
     reserve: int = 32                 # descriptors kept free of clients and hosts
@@ -56,6 +57,11 @@
         """How many connections to hosts leave room for so many clients."""
         return max(0, self.sockets - self.reserve - clients)
 
+    @property
+    def once_room(self):
+        """How many clients that asked once may keep their connection for a while."""
+        return self.sockets // 6
+
     @property
     def client_room(self):
         """How many clients can be connected before idle ones are shed."""
--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -27,7 +27,7 @@
         self.scheduler, self.limits, self.log = scheduler, limits, log
         self.place, self.left, self.make_room = place, left, make_room
         self.clients = {}    # connected ones, in the order of their last command
-        self.silent = {}     # those that have said nothing yet, in the order in which they came
+        self.silent, self.once = {}, {}    # those that have said nothing yet, or one thing, the oldest first
         self.listener, self.attending, self.starved = None, False, 0.0
         self.ending, self.ended, self.until = False, None, 0.0
 
@@ -59,6 +59,8 @@
             self.clients[client] = self.silent[client] = None
             if len(self.clients) > self.limits.client_room:
                 self.shed()
+            elif len(self.once) > self.limits.once_room:
+                self.shed_one(self.once)
             self.make_room(0)
             self.scheduler.spawn(client.run)
 
@@ -76,16 +78,32 @@
             self.scheduler.after(self.limits.out_of_descriptors, self.attend)
 
     def shed(self):
-        """Close the connection that has been idle for longest; one that has never said anything goes first."""
-        for client in itertools.chain(self.silent, self.clients):
+        """Close the connection that has been idle for longest: of those that have said nothing for a while, else
+        of those that asked once, else of all. A client that keeps coming back, and one just come, stay."""
+        settled = self.scheduler.now() - self.limits.client_settle
+        silent = itertools.takewhile(lambda client: client.came <= settled, self.silent)
+        self.shed_one(itertools.chain(silent, self.once, (one for one in self.clients if one not in self.silent)))
+
+    def shed_one(self, clients):
+        for client in clients:
             if client.idle():
                 client.stream.close()
                 self.forget(client)
                 return
 
-    def forget(self, client):
-        self.clients.pop(client, None)
+    def heard(self, client):
+        """A client has said something: the order of clients is that of their last commands."""
+        if client in self.silent:
+            self.once[client] = None
+        else:
+            self.once.pop(client, None)
         self.silent.pop(client, None)
+        self.clients.pop(client, None)
+        self.clients[client] = None
+
+    def forget(self, client):
+        for clients in (self.clients, self.silent, self.once):
+            clients.pop(client, None)
 
     def end(self, ended):
         """Let clients go as soon as each has all its answers, then tell `ended`."""
@@ -113,6 +131,7 @@
     def __init__(self, server, stream):
         self.server, self.stream = server, stream
         self.owed = deque()    # replies in the order of their commands
+        self.came = self.since = server.scheduler.now()    # since when nothing is owed to it
         self.closing = False   # the connection ends once all is written
         self.half = None       # when a command that has begun must have come whole
 
@@ -128,7 +147,7 @@
                 except TimeoutError:
                     if self.half:
                         raise resp.Malformed("command not whole in time") from None
-                    if self.idle():
+                    if self.idle() and self.patience() <= self.server.limits.let_go:
                         return
         except resp.Malformed as trouble:
             self.closing = True
@@ -151,7 +170,9 @@
             self.half = self.half or now + limits.half_command
             return max(0.0, self.half - now)
         self.half = None
-        return limits.client_idle if self not in self.server.silent else limits.client_silent
+        once = self in self.server.silent or self in self.server.once
+        most = limits.client_once if once else limits.client_idle
+        return most if self.owed else max(limits.let_go, self.since + most - now)
 
     def pass_over(self):
         """Read what follows a frame of no form, for a while: a reset would take our answers with it."""
@@ -178,10 +199,9 @@
                 at, taken = end, taken + 1
         finally:
             del buffer[:at]
-        if taken:    # the order of clients is that of their last commands
+        if taken:
             self.half = None
-            self.server.forget(self)
-            self.server.clients[self] = None
+            self.server.heard(self)
         return taken == limits.commands
 
     def take(self, buffer, start, spans, end):
@@ -210,6 +230,7 @@
         while self.owed and self.owed[0].answer is not None:
             pieces += self.owed.popleft().answer
         if pieces:
+            self.since = self.server.scheduler.now()
             self.stream.write(*pieces)
             self.let_go()
 
