--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -506,7 +506,7 @@
 
     def place(self, now, rpc):    # where to send this one: to a host, into the wait for credit, or back
         if self.shed(now, rpc):
-            return [PushBack(self.end(rpc), self.max_wait)]
+            return [PushBack(self.end(rpc), self.max_wait, "pressed")]
         verdict, steps = self.leases.spend(now, rpc)
         return steps if verdict is None else steps + self.settle(now, rpc, verdict)
 
@@ -525,8 +525,9 @@
             lease.ceiling -= rpc.units
             self.firsts.append(0)
             return steps
+        cause = "ceiling" if not lease.room(now, rpc.units) else "host" if may_go else "credit"
         lease.held += rpc.units if may_go else 0.0
-        return [PushBack(self.end(rpc), max(0.0, min(self.max_wait, lease.ends - now)))]
+        return [PushBack(self.end(rpc), max(0.0, min(self.max_wait, lease.ends - now)), cause)]
 
     def send(self, now, rpc, among):    # one call-out to a drawn host; no steps when no host may take it
         host = self.fleet.draw(now, rpc, among) if rpc.deadline > now else None
@@ -574,7 +575,7 @@
         """The final answer for what will not go again: pushed back where a repeat is safe, else aborted."""
         effect, scope = rpc.method.effect, rpc.method.key_scope
         safe = effect == IDEMPOTENT or effect == DEDUPLICATED and scope == "all" or not may_have_run(rpc)
-        return PushBack(self.end(rpc), 0.0) if safe else Abort(self.end(rpc))
+        return PushBack(self.end(rpc), 0.0, "given up") if safe else Abort(self.end(rpc))
 
     def end(self, rpc):    # it has its final answer, or nobody to give it to
         rpc.ended = True
--- a/petrellane/interface.py
+++ b/petrellane/interface.py
@@ -97,9 +97,10 @@
 
 
 class PushBack(NamedTuple):
-    """End the RPC as pushed back; the client may try again after `wait`."""
+    """End the RPC as pushed back; the client may try again after `wait`. The cause is for counts alone."""
     rpc: Rpc
     wait: float
+    cause: str = ""
 
 
 class Abort(NamedTuple):
--- a/petrellane/net/discovery.py
+++ b/petrellane/net/discovery.py
@@ -10,12 +10,16 @@
 PATH = "/registry/instances"
 
 
+class Refused(Malformed):
+    """Discovery is there and turns us away: it has more to do than it can."""
+
+
 class Discovery:
     """Tells `listed` of each list, and of None when a call failed."""
 
-    def __init__(self, scheduler, limits, log, address, index, listed):
+    def __init__(self, scheduler, limits, log, address, index, listed, random):
         self.scheduler, self.limits, self.log, self.address = scheduler, limits, log, address
-        self.index, self.listed = index, listed
+        self.index, self.listed, self.random = index, listed, random
         self.stream, self.over = None, False
 
     def end(self):
@@ -25,7 +29,9 @@
             self.stream.close()
 
     def run(self):
-        """Watch until the end; discovery that is away is asked again with growing pauses."""
+        """Watch until the end; discovery that is away is asked again with growing pauses. Gateways that lost it
+        together don't ask together: each pause is drawn. Its connection is closed before, as nobody reads from it
+        meanwhile: what the peer had ended would be ready at every poll."""
         pause, away = self.limits.back_off_first, False
         while not self.over:
             stream = None
@@ -48,24 +54,31 @@
                     self.log.event("discovery_away", error=str(trouble))
                     self.listed(None)
                 away = True
-                self.scheduler.wait(pause)
-                pause = min(2 * pause, self.limits.back_off_most)
+                if isinstance(trouble, Refused):
+                    pause = max(pause, self.limits.back_off_refused)
             finally:
                 if stream:
                     stream.close()
+            if away:
+                self.scheduler.wait(self.drawn(pause))
+                pause = min(2 * pause, self.limits.back_off_most)
+
+    def drawn(self, seconds):
+        """From half to one and a half times so many: what all gateways do at some time must not come in step."""
+        return seconds * (0.5 + self.random())
 
     def watch(self, stream):
         """One call: the list or the changes, and whether the connection goes on."""
-        limits, path = self.limits, PATH
+        limits, path, hold = self.limits, PATH, self.drawn(self.limits.watch_hold)
         if self.index is not None:    # an index of 0 is one too
-            path += f"?from={self.index}&hold_ms={int(limits.watch_hold * 1e3)}"
+            path += f"?from={self.index}&hold_ms={int(hold * 1e3)}"
         stream.write(http.get(path, "%s:%d" % self.address))
-        timeout = limits.watch_hold + limits.watch_grace
+        timeout = hold + limits.watch_grace
         while not (found := http.head(stream.buffer, limits)):
             stream.fill(timeout)
         status, fields, end = found
         del stream.buffer[:end]
         body = http.body(stream, fields, limits, timeout)
         if status != 200:
-            raise Malformed(f"status {status}")
+            raise Refused(f"status {status}")
         return host_list(Section(orjson.loads(body), "list")), fields.get(b"connection", b"").lower() != b"close"
--- a/petrellane/net/driver.py
+++ b/petrellane/net/driver.py
@@ -1,5 +1,6 @@
 """Calls the decisions with what the sockets tell, and carries out the steps they answer with."""
 
+from collections import Counter
 from weakref import WeakValueDictionary
 
 from petrellane import interface as api
@@ -16,6 +17,7 @@
         self.gateway = Gateway(seed=config.seed, **config.settings.gateway)
         self.customers, self.hosts, self.exchanges = WeakValueDictionary(), {}, {}
         self.ids = {}    # id -> exchange, while it is open
+        self.tally = Counter()    # what came, went out and was answered since the last figures, by kind
         self.upstream = self.counter = None    # set before the first event
         self.carriers = {api.CallOut: self.call_out, api.PushBack: self.push_back, api.Abort: self.abort,
                          api.Cancel: self.cancel, api.Add: self.add, api.Wake: self.wake,
@@ -79,6 +81,7 @@
         rpc = exchange.rpc = api.Rpc(method, customer, units, came + min(exchange.patience, method.deadline), came,
                                      resent=exchange.named.get("r") == "1", write=method.effect != api.IDEMPOTENT)
         self.exchanges[rpc] = self.ids[exchange.id] = exchange
+        self.tally["rpcs"] += 1
         self.tell(rpc, self.gateway.place, now, rpc)
 
     def tell(self, rpc, call, *words, **more):
@@ -98,6 +101,7 @@
     def ended(self, attempt, outcome, value, figures):
         """An attempt's outcome; the first ok answers the client by itself."""
         call_out, now = attempt.call_out, self.now()
+        self.tally["out " + outcome] += 1
         if outcome == api.OK:
             self.finish(call_out.rpc, b"$%d\r\n" % len(value), value, b"\r\n")
         over, report = call_out.rpc not in self.exchanges, self.figures(figures, self.limits.figure)
@@ -121,6 +125,7 @@
         return found
 
     def counted(self, add, outcome, total):
+        self.tally["add " + outcome] += 1
         self.carry_out(self.gateway.counted(self.now(), add, outcome, total))
 
     def finish(self, rpc, *answer):
@@ -132,13 +137,16 @@
     def call_out(self, step):
         exchange = self.exchanges.get(step.rpc)
         if exchange:
+            self.tally["call_outs"] += 1
             self.upstream.send(exchange, step)
 
     def push_back(self, step):
+        self.tally["pushed " + step.cause] += 1
         wait = int(step.wait * 1e3 + 0.999)
         self.finish(step.rpc, b"-BUSY %d\r\n" % wait if wait else b"-BUSY\r\n")
 
     def abort(self, step):
+        self.tally["aborted"] += 1
         self.finish(step.rpc, b"-ERR aborted\r\n")
 
     def cancel(self, step):
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -30,12 +30,13 @@
     host_floor: int = 128             # descriptors for hosts that idle clients have to make room for
     counter_connections: int = 8      # connections to the counter
     counter_idle: float = 4.0         # the counter closes idle connections after ten seconds or less
-    watch_hold: float = 4.0           # how long discovery may hold a watch
+    watch_hold: float = 4.0           # how long discovery may hold a watch, about
     watch_grace: float = 1.0          # and how much later its answer may come
     watch_pause: float = 0.02         # before the next watch, where there was no news
     list_size: int = 8 * 1024 * 1024  # a host list
-    back_off_first: float = 0.1       # wait before the first new connection to discovery
-    back_off_most: float = 1.0        # and the longest wait
+    back_off_first: float = 0.1       # wait before the first new connection to discovery, about
+    back_off_refused: float = 2.0     # or where it turned us away: one of many callers, all of which ask again
+    back_off_most: float = 8.0        # and the longest wait
     figure: float = 1e9               # a figure on use or load; more is no figure
     look: float = 1.0                 # between looks for idle connections
     linger: float = 0.5               # for what a client still sends after a frame of no form
@@ -43,6 +44,8 @@
     change_over: float = 0.5          # after SIGTERM, clients are served as if nothing were the matter for so long
     ending_most: float = 15.0         # and then, for the clients that never let go of us
     beat: float = 0.1                 # a timer rings so often, which tells of having stood still in a poll
+    figures: float = 1.0              # between log lines that tell what was counted
+    figures: float = 1.0              # between log lines that tell what was counted
     let_go: float = 0.05              # between looks for clients that are owed nothing
     log_lines: int = 1000             # log lines that wait for a slow reader; what comes on top is dropped
 
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -4,6 +4,8 @@
 import select
 import signal
 import socket
+import time
+from collections import Counter as Tally
 from dataclasses import replace
 
 from petrellane.config import ConfigError
@@ -36,7 +38,8 @@
         self.ending = False
 
     def watch(self, index):
-        return Discovery(self.scheduler, self.limits, self.log, self.config.discovery, index, self.driver.listed)
+        return Discovery(self.scheduler, self.limits, self.log, self.config.discovery, index, self.driver.listed,
+                         self.driver.gateway.random)
 
     def run(self):
         """Serve until `end`, and until all that was taken is answered."""
@@ -53,12 +56,26 @@
         self.scheduler.spawn(self.discovery.run)
         self.server.listen(self.config.listen)
         self.beat()
+        self.tell()
         self.log.event("started", listen="%s:%d" % self.config.listen, hosts=len(self.driver.hosts))
 
     def beat(self):
         """Never let a poll last long: one that overruns tells that the process stood still."""
         self.scheduler.after(self.limits.beat, self.beat)
 
+    def tell(self):
+        """Log what was counted since the last time, where there is anything; a line a second at most."""
+        self.scheduler.after(self.limits.figures, self.tell)
+        tally, self.driver.tally = self.driver.tally, Tally()
+        tally.update(self.upstream.tally)
+        self.upstream.tally.clear()
+        if tally:
+            self.log.event("figures", **tally, cpu=round(time.process_time(), 3), turn=round(self.scheduler.longest, 3),
+                           clients=len(self.server.clients), connections=self.upstream.open,
+                           busy=sum(len(pool.busy) for pool in self.upstream.pools.values()),
+                           pressure=round(self.driver.gateway.pressure, 3))
+        self.scheduler.longest = 0.0
+
     def obey(self, signals):
         """Make these calls, by their numbers, on signals, which must wake the poll."""
         ours, theirs = socket.socketpair()
--- a/petrellane/net/scheduler.py
+++ b/petrellane/net/scheduler.py
@@ -36,6 +36,7 @@
         self.offset = time.time() - monotonic()
         self.still, self.looked = still, monotonic()    # seconds that count as standing still; the last look
         self.came = self.looked
+        self.longest = 0.0               # seconds that a turn has taken at most, its poll apart
 
     def now(self):
         """Unix time, anchored once and stepped by the monotonic clock."""
@@ -104,6 +105,7 @@
             ready, self.ready = self.ready, []
             for call, words in ready:
                 self.attempt(call, words)
+        self.longest = max(self.longest, self.monotonic() - now)
 
     def stop(self):
         self.running = False
--- a/petrellane/net/upstream.py
+++ b/petrellane/net/upstream.py
@@ -4,7 +4,7 @@
 or broke before the last byte was written, and may have run when that happened later.
 """
 
-from collections import deque
+from collections import Counter, deque
 from functools import partial
 
 from petrellane import interface as api
@@ -36,6 +36,7 @@
             self.stream = Stream.dial(upstream.scheduler, upstream.limits, self.address, upstream.limits.dial_timeout)
         except OSError as trouble:
             upstream.open -= 1
+            upstream.tally["dials failed"] += 1
             pool.dial_failed(self, trouble)
             return
         pool.dials -= 1
@@ -142,6 +143,7 @@
         if self.dials + len(self.busy) < limits.host_connections and self.upstream.make_room(1):
             self.dials += 1
             self.upstream.open += 1
+            self.upstream.tally["dials"] += 1
             self.upstream.scheduler.spawn(Connection(self).run)
             return
         shared = [one for one in self.busy if not one.retiring and len(one.out) < limits.streams]
@@ -204,7 +206,7 @@
 
     def __init__(self, scheduler, limits, clients, ended):
         self.scheduler, self.limits, self.clients, self.ended = scheduler, limits, clients, ended
-        self.pools, self.open = {}, 0
+        self.pools, self.open, self.tally = {}, 0, Counter()
         self.attempts = {}    # call-out -> attempt, while its outcome is not told
         scheduler.after(limits.look, self.look)
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -6,6 +6,7 @@
 import io
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -13,9 +14,11 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 
 from petrellane import config
 from petrellane.net import resp
+from petrellane.net.discovery import Discovery
 from petrellane.net.limits import Limits
 from petrellane.net.node import Node
 from petrellane.net.scheduler import Scheduler
@@ -419,10 +422,39 @@
         """Discovery answers the watch that is out with these bytes."""
         watch, self.watch = self.until("a watch", lambda: self.watch), None
         watch.sock.send(unescape(" ".join(text)))
+        if "Connection: close" in " ".join(text):
+            watch.sock.close()
+            watch.ended = True
 
     def do_watch(self, *text):
         assert " ".join(text).encode() in self.until("a watch", lambda: self.watch).asked, self.watch.asked
 
+    def do_still(self):
+        """Nothing is ready that nobody takes: a poll with nothing to do waits."""
+        for _ in range(20):
+            self.turn(0)
+        assert not self.node.scheduler.poll.poll(0), "a descriptor is ready at every poll"
+
+    def do_refuses(self, number, seconds, most):
+        """So many gateways' watches are all turned away for some seconds: in any one second but the first at most
+        so many ask again."""
+        scheduler, calls, end = self.node.scheduler, [], self.time + float(seconds)
+        for seed in range(int(number)):
+            crowd = Discovery(scheduler, self.node.limits, self.node.log, self.node.config.discovery, 1,
+                              lambda told: None, random.Random(seed).random)
+            scheduler.spawn(crowd.run)
+        while self.time < end:
+            self.do_wait(0.02)
+            for peer in [peer for peer in self.peers if peer.at == "discovery" and not peer.ended]:
+                if getattr(peer, "asked", b"") and peer is not self.watch:
+                    calls.append(self.time)
+                    peer.sock.send(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+                    peer.sock.close()
+                    peer.ended = True
+        seconds = Counter(int(at - calls[0]) for at in calls)
+        assert max(seconds[one] for one in seconds if one) <= int(most), seconds
+        assert len(seconds) > 3, seconds    # and they go on asking
+
     def do_hangs_up(self):
         watch, self.watch = self.until("a watch", lambda: self.watch), None
         watch.reset()
