--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -35,6 +35,7 @@
 MOST = 0.9            # share of RPCs pushed back under the highest pressure: the rest shows when it ends
 SPANS = ((64, 2.5), (16, 0.6))    # samples that tell of pressure: at least so many, those of so many seconds
 PRIOR = [0.1, 0.1]    # shares of the soft deadline that speak for hosts of which little is known
+MORE = 1.5            # what cold hosts may take over of those just gone, as a multiple of what these had each
 LOCAL = 3.0           # odds of a host in our own zone, where crossing has a price
 GO_AGAIN = 0.2        # further call-outs, as a share of the last hundred
 PROVEN = (FULL, UNREACHABLE, NEVER_SENT)    # outcomes that prove a call-out never ran; no other does
@@ -72,7 +73,8 @@
         self.since, self.demand = now, deque(maxlen=256)
         self.ceiling, self.filled = 0.0, born    # a life begins with nothing: lives in a row never add up
         self.pool = POOL * plan.ceiling_slack * (self.even < 1)
-        self.pooled, self.pooling, self.pool_at, self.busy = 0.0, False, now, False
+        self.pooled, self.pooling, self.pool_at, self.busy = 0.0, 0.0, now, False
+        self.queue = []    # RPCs that wait for a piece of ceiling
 
     def roll(self, now):
         """Enter the window that `now` lies in; credit of an older one is void."""
@@ -130,8 +132,8 @@
         return self.ceiling if plan.ceiling_rate else math.inf
 
     def idle(self, now):    # it may be made anew without a loss, or a gain: a new one's ceiling is full
-        over = now >= self.ends + min(self.length, MEMORY) and not (self.out or self.waiting or self.ask)
-        return over and self.fill_ceiling(now) >= self.top()
+        busy = self.out or self.waiting or self.ask or self.queue or self.pooling
+        return not busy and now >= self.ends + min(self.length, MEMORY) and self.fill_ceiling(now) >= self.top()
 
     def top(self):    # the most of the ceiling that we hold
         return (self.customer.plan.ceiling_burst - 2 * self.pool) * self.even
@@ -155,13 +157,16 @@
         lease.roll(now)
         return lease
 
-    def spend(self, now, rpc):
+    def spend(self, now, rpc, again=False):
         """True: the units are spent; False: refused; None: the RPC waits for an ask. With the steps."""
         lease = self.of(rpc.customer, now)
-        lease.demand.append((now, rpc.units))
-        pooled = self.pool(lease, now)
+        lease.demand.extend([] if again else [(now, rpc.units)])
+        pooled = self.pool(lease, now, rpc.units)
         if not lease.room(now, rpc.units):
-            return False, pooled
+            if lease.pooling >= 0 or lease.fill_ceiling(now) >= rpc.units:
+                return False, pooled
+            lease.queue.append(rpc)
+            return None, pooled + [Wake(max(0.0, rpc.deadline - now), rpc)]
         if lease.held < rpc.units and (self.silent or self.crowded(now)):
             lease.share(now, self.silent, rpc.units * self.silent)
         covered = lease.held >= rpc.units or lease.allowance == math.inf
@@ -180,35 +185,46 @@
             return False, steps
         return None, steps + [Wake(max(0.0, rpc.deadline - now), rpc)]
 
-    def pool(self, lease, now):
+    def pool(self, lease, now, units):
         """Escrow, for customers that come in unevenly: a gateway whose share of the ceiling is full puts a
         piece of it on a count of this window, and one that is short takes from there. What is lost on the way
         or forgotten is lost to the safe side; a copy of the count gives at most what lay there, the slack."""
         piece, name = lease.pool * lease.even, stable(f"{lease.customer.name} {lease.window} ceiling")
         if not piece or lease.pooling or now < lease.pool_at or self.silent or self.crowded(now):
             return []
-        level = lease.fill_ceiling(now)
-        if lease.busy and level > lease.top() - piece and lease.pooled + piece <= lease.pool:
+        level, top = lease.fill_ceiling(now), lease.top()
+        busy = lease.busy or lease.total > lease.customer.plan.ceiling_rate * lease.even * lease.length
+        if busy and level > top - piece and level - piece >= units and lease.pooled + piece <= lease.pool:
             lease.ceiling -= piece
-        elif level < lease.pool and now >= lease.dry_until:
-            piece = -lease.pool
+        elif level < units and now >= lease.dry_until:    # no more than fits, or it is lost
+            piece = -min(lease.pool, top - level)
         else:
             return []
-        lease.pooling = True
+        lease.pooling = piece
         return [Add(name, piece, min(60.0, 2 * lease.length), window=lease.window, pool=lease)]
 
     def pooled(self, now, add, outcome, total):
         """The counter's word on a piece of ceiling: what the total proves was there is ours, no more."""
         lease, got, steps = add.pool, 0.0, []
-        lease.pooling = False
+        lease.pooling = 0.0
         if outcome == OK and add.amount < 0:
             got = min(-add.amount, max(0.0, total - add.amount))
             steps = [Add(add.name, -add.amount - got, lease.length)] if got < -add.amount else []
         elif outcome in PROVEN and add.amount > 0:
             got = add.amount    # it never went there
         lease.ceiling += got
-        lease.pooled = total if outcome == OK and add.window == lease.window else lease.pooled
-        lease.pool_at = now if got else now + PIECE * min(lease.length, 1.0)    # empty or full: look later
+        if not got and (add.amount < 0 or outcome != OK):    # empty: look later
+            lease.pool_at = now + PIECE * min(lease.length, 1.0)
+        if outcome == OK and add.window == lease.window:
+            lease.pooled, piece = total, lease.pool * lease.even
+            more = min(lease.fill_ceiling(now) - lease.in_hand(), (lease.pool - total) / 2)
+            if add.amount == piece <= more:    # its RPCs may be rare: lend more while what lies there is known
+                lease.ceiling, lease.pooling = lease.ceiling - more, more
+                steps = [Add(add.name, more, add.ttl, window=lease.window, pool=lease)]
+        queue, lease.queue = lease.queue, []
+        for rpc in [rpc for rpc in queue if not rpc.ended]:
+            verdict, more = self.spend(now, rpc, True)
+            steps += more + ([] if verdict is None else self.settle(now, rpc, verdict))
         return steps
 
     def top_up(self, lease, now, again=False):
@@ -267,7 +283,7 @@
         late, add.settled = add.settled, True
         lease.roll(now)
         if lease.window == add.window:
-            steps += self.grant(lease, add, total, now, late)
+            steps += self.grant(lease, add, total, now, late) + self.pool(lease, now, lease.in_hand())
         if lease.ask is not add:
             return steps
         lease.ask, short = None, lease.short() > 0
@@ -345,7 +361,7 @@
 
     def listed(self, now, full, listings):
         """Take over a list or its changes; what a full list leaves out is gone."""
-        self.sizes.append((now, sum(host.state == READY for host in self.hosts)))
+        self.sizes.append((now, self.capacity(now)))
         if full:
             named = {row.host for row in listings}
             for host in [host for host in self.hosts if host not in named]:
@@ -402,15 +418,17 @@
         share = max(0.0, now - host.up_since) / self.cold if host.up_since and self.cold else 1.0
         return min(1.0, self.cold_from + (1 - self.cold_from) * share)
 
+    def capacity(self, now):    # of all ready hosts, in warm ones
+        return sum(self.warmth(host, now) for host in self.hosts if host.state == READY)
+
     def carried(self, now):
         """Guards cold hosts against a flood, of which pressure shows only once answers are late: less than
         one once hosts carry less than half of what we send; and against doing the work of hosts that have
         just gone: as many as were ready lately share it."""
         parts = [part for at, part, _ in self.lately if now - at <= SPANS[0][1]]
-        ready = sum(host.state == READY for host in self.hosts)
-        lately = max([ready] + [size for at, size in self.sizes if now - at <= MEMORY])
+        lately = max([0.0] + [size for at, size in self.sizes if now - at <= MEMORY])
         carried = 2 * (1 + sum(part < 1 for part in parts)) / (1 + len(parts) + len(self.out))
-        return min(1.0, carried) * ready / lately
+        return min(1.0, carried) / max(self.capacity(now), lately / MORE)
 
     def room(self, host, health, method, now, usual, lag):
         """The room a host is thought to have, in no unit but its own."""
@@ -429,9 +447,11 @@
             if ready:
                 break
         cold = [pair for pair in ready if self.warmth(pair[0], now) < 1.0]
-        share = self.carried(now) / len(pool) if cold else 0.0
-        for host, health in cold:    # guards cold hosts: warmth's part of an even draw, whatever ails others
-            if self.random() < self.warmth(host, now) * share and not self.poor(health, rpc.method, now):
+        known = sum(host.state == READY for host in self.hosts)
+        share, lot = self.carried(now) * known / len(pool) if cold else 0.0, self.random()
+        for host, health in cold:    # guards cold hosts: warmth's part of all capacity, whatever ails others
+            lot -= self.warmth(host, now) * share
+            if lot < 0 and not self.poor(health, rpc.method, now):
                 return host
         ready = [pair for pair in ready if pair not in cold]
         poor = [pair for pair in ready if self.poor(pair[1], rpc.method, now)]
