Gateways that lend ceiling at once take back what lies beyond half the slack

Cause: the second, larger piece that a lender puts on the pool goes by the total of its first. Several in one round trip each see the same room (lines in Leases.pooled), and a copy of the count, should there be one then, would be worth more than the slack.

Change: a lender whose second piece made the total pass half the slack takes back what is too much, as far as the total proves it.

Tried and left out: giving refused asks back on a crowded counter too. Seen: about a third of the gateways count as crowded at a time, and what they were refused stays on the count (total of 31 at an allowance of 15; half of the refusals with half a quota unused).

--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -218,9 +218,12 @@
         if outcome == OK and add.window == lease.window:
             lease.pooled, piece = total, lease.pool * lease.even
             more = min(lease.fill_ceiling(now) - lease.in_hand(), (lease.pool - total) / 2)
-            if add.amount == piece <= more:    # its RPCs may be rare: lend more while what lies there is known
-                lease.ceiling, lease.pooling = lease.ceiling - more, more
-                steps = [Add(add.name, more, add.ttl, window=lease.window, pool=lease)]
+            if add.again and total > lease.pool:    # several lent at once: back with what is too much
+                more = -min(add.amount, total - lease.pool)
+            elif add.again or add.amount < 0 or more < piece:    # else its RPCs may be rare: lend while we know
+                more = 0.0
+            lease.ceiling, lease.pooling = lease.ceiling - max(0.0, more), more
+            steps += [Add(add.name, more, add.ttl, window=lease.window, again=more > 0, pool=lease)] if more else []
         queue, lease.queue = lease.queue, []
         for rpc in [rpc for rpc in queue if not rpc.ended]:
             verdict, more = self.spend(now, rpc, True)
