The figures tell whether the counter counts as crowded; the count over a fleet has a test

Need: a claim of ours about crowded gateways could not be checked from the logs, and benchmarks/fleet_count.py stood without a test.

Change: `crowded` in the figures event and in the script's table; a gateway on loopback logs its figures and the script must add up what was sent (RPCs, ok, adds, starts), broken lines passed over.

--- a/benchmarks/fleet_count.py
+++ b/benchmarks/fleet_count.py
@@ -10,7 +10,7 @@
 import sys
 from collections import Counter, defaultdict
 
-STANDING = ("connections", "busy", "clients", "pressure", "turn")    # read at one time; all else is counted
+STANDING = ("connections", "busy", "clients", "pressure", "crowded", "turn")    # read at one time; all else is counted
 LEFT_OUT = ("at", "gateway", "event", "cpu")
 COLUMNS = ("rpcs", "out ok", "pushed pressed", "pushed credit", "pushed ceiling", "pushed host", "pushed given up",
            "aborted", "call_outs", "out full", "out unreachable", "out late", "dials", "dials failed", "adds", "adds failed",
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -73,7 +73,8 @@
             self.log.event("figures", **tally, cpu=round(time.process_time(), 3), turn=round(self.scheduler.longest, 3),
                            clients=len(self.server.clients), connections=self.upstream.open,
                            busy=sum(len(pool.busy) for pool in self.upstream.pools.values()),
-                           pressure=round(self.driver.gateway.pressure, 3))
+                           pressure=round(self.driver.gateway.pressure, 3),
+                           crowded=int(self.driver.gateway.leases.crowded(self.scheduler.now())))
         self.scheduler.longest = 0.0
 
     def obey(self, signals):
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -16,6 +16,7 @@
 import time
 from collections import Counter
 
+from benchmarks import fleet_count
 from petrellane import config
 from petrellane.net import resp
 from petrellane.net.discovery import Discovery
@@ -429,6 +430,20 @@
     def do_watch(self, *text):
         assert " ".join(text).encode() in self.until("a watch", lambda: self.watch).asked, self.watch.asked
 
+    def do_counts(self, *wanted):
+        """What the count over a fleet makes of this gateway's log: NAME=NUMBER in all, since the start."""
+        self.node.log.flush()
+        self.log.seek(0)
+        with tempfile.TemporaryDirectory() as folder:
+            with open(os.path.join(folder, "g1.log"), "wb") as copy:
+                copy.write(b"0.1 " + self.log.read() + b"{no event\n")
+            counts, stands, waits = fleet_count.count(fleet_count.events(folder))
+        total = sum(counts.values(), Counter())
+        for word in wanted:
+            name, number = word.split("=")
+            assert total[name.replace("_", " ")] == int(number), (name, total)
+        assert stands and len(waits) == 1, (stands, waits)
+
     def do_still(self):
         """Nothing is ready that nobody takes: a poll with nothing to do waits."""
         for _ in range(20):
