--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -133,7 +133,8 @@
 
     def idle(self, now):    # it may be made anew without a loss, or a gain: a new one's ceiling is full
         busy = self.out or self.waiting or self.ask or self.queue or self.pooling
-        return not busy and now >= self.ends + min(self.length, MEMORY) and self.fill_ceiling(now) >= self.top()
+        over = now >= self.ends + min(self.length, MEMORY) and not busy
+        return over and self.fill_ceiling(now) >= self.top()
 
     def top(self):    # the most of the ceiling that we hold
         return (self.customer.plan.ceiling_burst - 2 * self.pool) * self.even
@@ -160,7 +161,8 @@
     def spend(self, now, rpc, again=False):
         """True: the units are spent; False: refused; None: the RPC waits for an ask. With the steps."""
         lease = self.of(rpc.customer, now)
-        lease.demand.extend([] if again else [(now, rpc.units)])
+        if not again:
+            lease.demand.append((now, rpc.units))
         pooled = self.pool(lease, now, rpc.units)
         if not lease.room(now, rpc.units):
             if lease.pooling >= 0 or lease.fill_ceiling(now) >= rpc.units:
@@ -220,10 +222,12 @@
             more = min(lease.fill_ceiling(now) - lease.in_hand(), (lease.pool - total) / 2)
             if add.again and total > lease.pool:    # several lent at once: back with what is too much
                 more = -min(add.amount, total - lease.pool)
-            elif add.again or add.amount < 0 or more < piece:    # else its RPCs may be rare: lend while we know
+            elif add.again or add.amount < 0 or more < piece:    # else lend: its RPCs may be rare
                 more = 0.0
-            lease.ceiling, lease.pooling = lease.ceiling - max(0.0, more), more
-            steps += [Add(add.name, more, add.ttl, window=lease.window, again=more > 0, pool=lease)] if more else []
+            if more:
+                lease.ceiling, lease.pooling = lease.ceiling - max(0.0, more), more
+                second = Add(add.name, more, add.ttl, window=lease.window, again=more > 0, pool=lease)
+                steps.append(second)
         queue, lease.queue = lease.queue, []
         for rpc in [rpc for rpc in queue if not rpc.ended]:
             verdict, more = self.spend(now, rpc, True)
@@ -425,9 +429,9 @@
         return sum(self.warmth(host, now) for host in self.hosts if host.state == READY)
 
     def carried(self, now):
-        """Guards cold hosts against a flood, of which pressure shows only once answers are late: less than
-        one once hosts carry less than half of what we send; and against doing the work of hosts that have
-        just gone: as many as were ready lately share it."""
+        """A warm host's part of the draw, for cold ones. Guards them against a flood, of which pressure shows
+        only once answers are late: less once hosts carry less than half of what we send; and against doing
+        the work of hosts that have just gone: at most MORE of what lately's capacity would leave."""
         parts = [part for at, part, _ in self.lately if now - at <= SPANS[0][1]]
         lately = max([0.0] + [size for at, size in self.sizes if now - at <= MEMORY])
         carried = 2 * (1 + sum(part < 1 for part in parts)) / (1 + len(parts) + len(self.out))
@@ -450,8 +454,8 @@
             if ready:
                 break
         cold = [pair for pair in ready if self.warmth(pair[0], now) < 1.0]
-        known = sum(host.state == READY for host in self.hosts)
-        share, lot = self.carried(now) * known / len(pool) if cold else 0.0, self.random()
+        ready_now = sum(host.state == READY for host in self.hosts) if cold else 0
+        share, lot = (self.carried(now) * ready_now / len(pool), self.random()) if cold else (0.0, 0.0)
         for host, health in cold:    # guards cold hosts: warmth's part of all capacity, whatever ails others
             lot -= self.warmth(host, now) * share
             if lot < 0 and not self.poor(health, rpc.method, now):
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -45,7 +45,6 @@
     ending_most: float = 15.0         # and then, for the clients that never let go of us
     beat: float = 0.1                 # a timer rings so often, which tells of having stood still in a poll
     figures: float = 1.0              # between log lines that tell what was counted
-    figures: float = 1.0              # between log lines that tell what was counted
     let_go: float = 0.05              # between looks for clients that are owed nothing
     log_lines: int = 1000             # log lines that wait for a slow reader; what comes on top is dropped
 
