--- a/petrellane/config.py
+++ b/petrellane/config.py
@@ -182,6 +182,7 @@
     """All that a gateway is told at its start."""
     name: str
     listen: tuple
+    management: tuple | None
     discovery: tuple
     counter: tuple | None
     seed: int
@@ -210,7 +211,7 @@
 def read(told, environ=None, again=False):
     """The configuration from its JSON; at a start, a PROXY_* variable goes before the key that says the same."""
     told = Section(told)
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen", "discovery", "management"):
         variable = "PROXY_" + key.upper()
         if environ and environ.get(variable) and not (again and told.value.get(key) is not None):
             told.value = {**told.value, key: environ[variable]}
@@ -223,6 +224,7 @@
         raise ConfigError(f"seed: expected hex digits, found {brief(seed)}") from None
     return Config(
         name=told.text("name"), listen=told.address("listen"), discovery=told.address("discovery"),
+        management=told.address("management") if told.value.get("management") is not None else None,
         counter=told.address("counter") if set_up.may_count else None, seed=seed,
         memory_mb=limits.number("memory_mb", 192), sockets=limits.whole("sockets", 1024, 64),
         known=host_list(told.section("known", {"index": 0, "snapshot": True, "endpoints": []})), settings=set_up)
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -41,7 +41,12 @@
     look: float = 1.0                 # between looks for idle connections
     linger: float = 0.5               # for what a client still sends after a frame of no form
     out_of_descriptors: float = 0.01  # between tries to accept when there are none left
-    change_over: float = 0.5          # after SIGTERM, clients are served as if nothing were the matter for so long
+    change_over: float = 0.5          # after SIGTERM or at a drain, clients are served as before for so long
+    last_command: float = 1.8         # after a drain began, connections take commands for so long
+    drain_idle: float = 0.25          # a connection that has only pinged is idle after this while it drains
+    callers: int = 8                  # calls of staff that are half way
+    call: float = 5.0                 # and the time that one has
+    head: int = 8 * 1024              # and the head of one
     ending_most: float = 15.0         # and then, for the clients that never let go of us
     beat: float = 0.1                 # a timer rings so often, which tells of having stood still in a poll
     figures: float = 1.0              # between log lines that tell what was counted
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -17,6 +17,8 @@
 from petrellane.net.scheduler import Scheduler
 from petrellane.net.server import Server
 from petrellane.net.upstream import Upstream
+from petrellane.operation.management import Management
+from petrellane.operation.states import Service
 
 
 class Node:
@@ -28,8 +30,10 @@
         self.scheduler.fault = lambda error: self.log.fault(error)
         self.log = Logger(log_descriptor, config.name, self.scheduler.now, self.limits.log_lines)
         self.driver = Driver(config, self.scheduler, self.limits, self.log)
-        self.server = Server(self.scheduler, self.limits, self.log, self.driver.place, self.driver.left,
+        self.service = Service(self.limits.change_over, self.limits.last_command)
+        self.server = Server(self.scheduler, self.limits, self.log, self.service, self.driver.place, self.driver.left,
                              lambda more: self.upstream.make_room(more))
+        self.management = Management(self.scheduler, self.limits, self.service, self.changed)
         self.upstream = self.driver.upstream = Upstream(
             self.scheduler, self.limits, lambda: len(self.server.clients), self.driver.ended)
         if config.counter:
@@ -55,6 +59,8 @@
         self.driver.start(self.config.known)
         self.scheduler.spawn(self.discovery.run)
         self.server.listen(self.config.listen)
+        if self.config.management:
+            self.management.listen(self.config.management)
         self.beat()
         self.tell()
         self.log.event("started", listen="%s:%d" % self.config.listen, hosts=len(self.driver.hosts))
@@ -113,9 +119,21 @@
             self.scheduler.spawn(self.discovery.run)
         self.log.event("reloaded", moved=moved)
 
+    def changed(self):
+        """Staff have had the gateway emptied, or taken into service again."""
+        self.log.event(self.service.state, clients=len(self.server.clients), open=len(self.driver.exchanges))
+        self.server.drain()
+
     def end(self):
         """Go on as before through the change-over, let clients go when they are owed nothing, then stop."""
         if not self.ending:
             self.ending = True
+            self.service.end(self.scheduler.now())
             self.log.event("ending", clients=len(self.server.clients), open=len(self.driver.exchanges))
-            self.scheduler.after(self.limits.change_over, lambda: self.server.end(self.scheduler.stop))
+            left = self.service.since + self.limits.change_over - self.scheduler.now()
+            self.scheduler.after(max(0.0, left), lambda: self.server.end(self.stop))
+
+    def stop(self):
+        """Nothing is owed to anybody any more."""
+        self.management.end()
+        self.scheduler.stop()
--- a/petrellane/net/scheduler.py
+++ b/petrellane/net/scheduler.py
@@ -30,6 +30,7 @@
         self.hub = greenlet.getcurrent()
         self.poll = select.poll()
         self.calls = {}                  # descriptor -> what to call with its events
+        self.urgent = set()              # descriptors whose events go first in a turn
         self.timers, self.order = [], itertools.count()
         self.ready = []                  # calls for the end of this turn
         self.running = False
@@ -47,8 +48,10 @@
         stopped, swapped out, or a turn took long) when it last looked, as it can have come any time since."""
         return self.offset + min(self.came, self.monotonic())
 
-    def register(self, descriptor, events, call):
+    def register(self, descriptor, events, call, urgent=False):
         self.calls[descriptor] = call
+        if urgent:
+            self.urgent.add(descriptor)
         self.poll.register(descriptor, events)
 
     def modify(self, descriptor, events):
@@ -56,6 +59,7 @@
 
     def unregister(self, descriptor):
         del self.calls[descriptor]
+        self.urgent.discard(descriptor)
         self.poll.unregister(descriptor)
 
     def soon(self, call, *words):
@@ -96,6 +100,8 @@
         else:
             self.came = began if most is not None and now - began > most / 1e3 + self.still else math.inf
         self.looked = now
+        if self.urgent:
+            ready.sort(key=lambda one: one[0] not in self.urgent)
         for descriptor, events in ready:
             call = self.calls.get(descriptor)
             if call:
--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -10,10 +10,12 @@
 from petrellane.net import resp
 from petrellane.net.exchange import BadField, Exchange, Reply
 from petrellane.net.stream import Closed, Stream
+from petrellane.operation.states import DRAINING, ENDING
 
 QUERY = b"SVC.QUERY"
 SERVED = {QUERY, b"SVC.SUBMIT"}
-AT_ONCE = {b"PING": b"+PONG\r\n", b"CLIENT": b"+OK\r\n", b"SELECT": b"+OK\r\n"}
+PING, PONG, UNWELCOME = b"PING", b"+PONG\r\n", b"-ERR draining\r\n"
+AT_ONCE = {PING: PONG, b"CLIENT": b"+OK\r\n", b"SELECT": b"+OK\r\n"}
 
 
 def error(text):
@@ -23,13 +25,13 @@
 class Server:
     """Hands what clients ask for to `place`, and tells `left` of those who went away before their answer."""
 
-    def __init__(self, scheduler, limits, log, place, left, make_room):
-        self.scheduler, self.limits, self.log = scheduler, limits, log
+    def __init__(self, scheduler, limits, log, service, place, left, make_room):
+        self.scheduler, self.limits, self.log, self.service = scheduler, limits, log, service
         self.place, self.left, self.make_room = place, left, make_room
         self.clients = {}    # connected ones, in the order of their last command
         self.silent, self.once = {}, {}    # those that have said nothing yet, or one thing, the oldest first
         self.listener, self.attending, self.starved = None, False, 0.0
-        self.ending, self.ended, self.until = False, None, 0.0
+        self.ended, self.until, self.draining = None, 0.0, False
 
     def listen(self, address):
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -107,9 +109,24 @@
 
     def end(self, ended):
         """Let clients go as soon as each has all its answers, then tell `ended`."""
-        self.ending, self.ended, self.until = True, ended, self.scheduler.now() + self.limits.ending_most
+        self.ended, self.until = ended, self.scheduler.now() + self.limits.ending_most
         self.let_go()
 
+    def drain(self):
+        """Look after clients that are to go, for as long as a drain lasts."""
+        if not self.draining:
+            self.draining = True
+            self.look_after()
+
+    def look_after(self):
+        self.draining = not self.service.welcomes
+        if self.draining:
+            for client in list(self.clients):
+                client.let_go()
+            if self.service.emptied(len(self.clients)):
+                self.log.event(self.service.state)
+            self.scheduler.after(self.limits.let_go, self.look_after)
+
     def let_go(self):
         for client in list(self.clients):
             client.let_go()
@@ -132,16 +149,20 @@
         self.server, self.stream = server, stream
         self.owed = deque()    # replies in the order of their commands
         self.came = self.since = server.scheduler.now()    # since when nothing is owed to it
-        self.closing = False   # the connection ends once all is written
+        self.closing, self.finished = False, 0.0    # the connection ends once all is written; and since when it has
+        self.asked = False     # it has sent an RPC
         self.half = None       # when a command that has begun must have come whole
 
     def run(self):
         """Read commands until the client goes away, or is idle or in the middle of a command for too long."""
         try:
             while True:
-                while self.read():    # others have their turn
+                while not self.closing and self.read():    # others have their turn
                     self.server.scheduler.wait(0)
                 self.let_go()
+                if self.closing:
+                    self.pass_over()
+                    return
                 try:
                     self.stream.fill(self.patience())
                 except TimeoutError:
@@ -207,6 +228,7 @@
     def take(self, buffer, start, spans, end):
         verb = bytes(buffer[slice(*spans[0])]).upper()
         if verb in SERVED:
+            self.asked = True
             try:
                 exchange = Exchange(verb == QUERY, buffer, start, spans, end, self.flush)
             except BadField as trouble:
@@ -218,7 +240,8 @@
             except BadField as trouble:
                 exchange.finish(error(str(trouble)))
         else:
-            self.reply(AT_ONCE.get(verb) or error("unknown command"))
+            unwelcome = verb == PING and not self.server.service.welcomes
+            self.reply(UNWELCOME if unwelcome else AT_ONCE.get(verb) or error("unknown command"))
 
     def reply(self, answer):
         self.owed.append(Reply(answer))
@@ -232,6 +255,8 @@
         if pieces:
             self.since = self.server.scheduler.now()
             self.stream.write(*pieces)
+            if not self.owed and self.server.service.state == DRAINING:
+                self.let_go()
             self.let_go()
 
     def idle(self):
@@ -240,7 +265,18 @@
 
     def let_go(self):
         """Close a connection that is to end, when nothing is owed on it."""
+        now = self.server.scheduler.now()
         if self.closing and not self.owed and not self.stream.unsent:
+            self.finished = self.finished or now
             self.stream.finish()
-        elif self.server.ending and self.idle():
+            if now - self.finished > self.server.limits.linger:
+                self.stream.close()
+        elif self.server.service.lets_go(now) and self.goes(now) and self.idle():
             self.stream.close()
+        elif not self.closing and not self.server.service.takes(now, self.came):    # what it sends from now on is not read
+            self.closing = True
+
+    def goes(self, now):
+        """Whether it is to end when idle. One that pings alone, to learn when we are back, may go on while we drain."""
+        limits = self.server.limits
+        return self.asked or self.server.service.state == ENDING or now - self.since >= limits.drain_idle
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -18,7 +18,7 @@
 class Stream:
     """A connection. One greenlet reads from it; anybody may write, which never waits."""
 
-    def __init__(self, scheduler, limits, sock):
+    def __init__(self, scheduler, limits, sock, urgent=False):
         self.scheduler, self.limits, self.sock = scheduler, limits, sock
         self.buffer = bytearray()        # read and not yet consumed
         self.unsent = deque()            # to be written
@@ -28,7 +28,7 @@
         if sock.family != socket.AF_UNIX:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.events = READ
-        scheduler.register(sock.fileno(), READ, self.on_events)
+        scheduler.register(sock.fileno(), READ, self.on_events, urgent)
 
     @classmethod
     def dial(cls, scheduler, limits, address, timeout):
--- /dev/null
+++ b/petrellane/operation/states.py
@@ -0,0 +1,63 @@
+"""The states of a gateway between its start and its end, as rules free of I/O.
+
+`Service` is told of calls and signals with the time at which they came, and answers plain questions. It promises that
+each call has one stated result in each state; closing connections and telling callers is left to others.
+
+    serving --drain--> draining --(no client left)--> drained --resume--> serving
+    any of them --end--> ending, from which nothing leads back
+"""
+
+SERVING, DRAINING, DRAINED, ENDING = "serving", "draining", "drained", "ending"
+
+
+class Service:
+    """Whether this gateway takes clients. Times are Unix seconds; `change_over` and `last_command` are seconds after a
+    drain or an end began: until the first, clients still come and are served as before; from the second on, a
+    connection that was there takes no new command while it drains."""
+
+    def __init__(self, change_over, last_command):
+        self.change_over, self.last_command = change_over, last_command
+        self.state, self.since = SERVING, 0.0
+
+    @property
+    def ready(self):
+        """Whether it takes clients and will go on to."""
+        return self.state == SERVING
+
+    @property
+    def welcomes(self):
+        """Whether a client that asks is told to come. One that ends is left by its platform, not by its clients."""
+        return self.state in (SERVING, ENDING)
+
+    def drain(self, now):
+        """Empty the gateway. Said again, the first call's times hold; while it ends, it empties all the same."""
+        if self.state == SERVING:
+            self.state, self.since = DRAINING, now
+        return True
+
+    def resume(self):
+        """Take clients again; False when it is ending."""
+        if self.state != ENDING:
+            self.state = SERVING
+        return self.state == SERVING
+
+    def end(self, now):
+        """Let clients go for good; a drain that is on has had its change-over, or goes on with it."""
+        if self.state != ENDING:
+            self.since = now if self.state == SERVING else self.since
+            self.state = ENDING
+
+    def emptied(self, clients):
+        """So many clients are connected; True when this call finds that a drain is done."""
+        if self.state == DRAINING and not clients:
+            self.state = DRAINED
+            return True
+        return False
+
+    def lets_go(self, now):
+        """Whether a connection that is owed nothing ends."""
+        return self.state != SERVING and now - self.since >= self.change_over
+
+    def takes(self, now, came):
+        """Whether a connection that came then takes a new command."""
+        return self.state in (SERVING, ENDING) or now - max(self.since, came) < self.last_command
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -100,15 +100,18 @@
         self.time, self.seed, self.node = 1000.0, seed, None
         self.listeners, self.peers, self.clients, self.taken, self.outcomes = {}, [], {}, {}, {}
         self.counter, self.totals, self.watch, self.index, self.ended = "on", {}, None, 1, False
-        self.told = None
+        self.told, self.callers = None, []
         self.fill = []    # connections that stand in the way at the host `full`
         self.log, self.sent, self.added, self.limits = tempfile.TemporaryFile(), {}, [], {}
 
     def close(self):
-        for sock in [*self.fill, *self.listeners.values(), *(peer.sock for peer in [*self.peers, *self.clients.values()])]:
+        peers = [*self.peers, *self.clients.values(), *self.callers]
+        for sock in [*self.fill, *self.listeners.values(), *(peer.sock for peer in peers)]:
             sock.close()
-        if self.node and self.node.server.listener:
-            self.node.server.listener.close()
+        if self.node:
+            self.node.management.end()
+            if self.node.server.listener:
+                self.node.server.listener.close()
         self.log.close()
 
     def listen(self, name, backlog=64):
@@ -144,7 +147,7 @@
             elif peer.at == "discovery" and b"\r\n\r\n" in peer.buffer:
                 self.watch, peer.asked = peer, bytes(peer.buffer)
                 peer.buffer.clear()
-        for client in self.clients.values():
+        for client in [*self.clients.values(), *self.callers]:
             client.read()
 
     def count(self, peer):
@@ -221,6 +224,11 @@
             self.do_raw(name, "*1\\r\\n$4\\r\\nPING\\r\\n")
             self.do_reads(name, "+PONG")
 
+    def do_connect_drained(self, name):
+        """A client comes although it is not wanted."""
+        self.clients[name] = Peer(socket.create_connection(self.address))
+        self.turn()
+
     def do_silent(self, name):
         self.clients[name] = Peer(socket.create_connection(self.address))
 
@@ -511,6 +519,29 @@
         for peer in [peer for peer in self.peers if peer.at == "counter-old"]:
             peer.reset()
 
+    def do_call(self, method, path, status, state=""):
+        """A call of staff is answered with this status, and tells this state."""
+        caller = self.caller(method, path)
+        answer = self.until(f"an answer to {path}", lambda: caller.ended and bytes(caller.buffer))
+        assert answer.startswith(b"HTTP/1.1 %b " % status.encode()) and state.encode() in answer, answer
+
+    def caller(self, method, path, end="\r\n\r\n"):
+        """Somebody who calls; "" as the end is half a call."""
+        sock = socket.create_connection(self.node.management.listener.getsockname())
+        sock.send(f"{method} {path} HTTP/1.1\r\nHost: here{end}".encode())
+        self.callers.append(Peer(sock))
+        return self.callers[-1]
+
+    def do_half_calls(self, number):
+        """So many callers who never finish."""
+        for _ in range(int(number)):
+            self.caller("GET", "/-/ready", "")
+            self.turn()
+
+    def do_callers(self, number):
+        """So many of them are still connected."""
+        self.until(f"{number} callers", lambda: sum(not caller.ended for caller in self.callers) == int(number))
+
     def do_rehost(self, name):
         """A host is listed at another address; the old one goes on with what it has."""
         self.listeners.pop(name).close()
