--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	touch .venv/ready
 
 test: .venv/ready
-	$(PYTHON) -m ruff check petrellane benchmarks tests/model tests/runner.py
+	$(PYTHON) -m ruff check petrellane benchmarks tests/model tests/operation tests/runner.py
 	.venv/bin/lint-imports
 	$(PYTHON) -m tests.runner
 
--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -39,6 +39,8 @@
 LOCAL = 3.0           # odds of a host in our own zone, where crossing has a price
 GO_AGAIN = 0.2        # further call-outs, as a share of the last hundred
 PROVEN = (FULL, UNREACHABLE, NEVER_SENT)    # outcomes that prove a call-out never ran; no other does
+HANDED = ("window ends shares held got added owed total carry part dry_until single_at since ceiling filled pooled "
+          "pool_at busy out").split()    # what makes a lease, for the process that follows this one
 
 
 def stable(text):    # a whole number below 2**63 for a text, the same in every process
@@ -136,6 +138,18 @@
         over = now >= self.ends + min(self.length, MEMORY) and not busy
         return over and self.fill_ceiling(now) >= self.top()
 
+    def given(self, now):    # what it is, as plain values, given up here: the ceiling of what waits stays
+        kept = min(self.fill_ceiling(now), self.in_hand() + sum(rpc.units for rpc in self.queue))
+        self.ceiling -= kept if self.customer.plan.ceiling_rate else 0.0
+        told = {name: getattr(self, name) for name in HANDED}
+        self.held, self.ceiling, self.filled = 0.0, kept, math.inf    # and it grows no more
+        return told | {"demand": list(self.demand)[-32:]}
+
+    def taken(self, told):    # go on with what another process was given up
+        for name in HANDED:
+            setattr(self, name, told[name])
+        self.demand.extend((at, units) for at, units in told["demand"])
+
     def top(self):    # the most of the ceiling that we hold
         return (self.customer.plan.ceiling_burst - 2 * self.pool) * self.even
 
--- a/petrellane/config.py
+++ b/petrellane/config.py
@@ -8,6 +8,8 @@
 
 import json
 import math
+import os
+import socket
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -182,6 +184,7 @@
     """All that a gateway is told at its start."""
     name: str
     listen: tuple
+    listen_fd: int | None
     management: tuple | None
     discovery: tuple
     counter: tuple | None
@@ -192,6 +195,24 @@
     settings: Settings
 
 
+def listening(text):
+    """The descriptor of a listening TCP socket, from PROXY_LISTEN_FD; None where it is not set."""
+    if not text:
+        return None
+    expected = "PROXY_LISTEN_FD: expected the descriptor of a listening TCP socket, found"
+    if not (text.isascii() and text.isdigit() and len(text) < 8):
+        raise ConfigError(f"{expected} {brief(text)}")
+    try:
+        sock = socket.socket(fileno=os.dup(int(text)))
+    except OSError as error:
+        raise ConfigError(f"{expected} {text}: {error.strerror}") from None
+    with sock:
+        if sock.family != socket.AF_INET or sock.type != socket.SOCK_STREAM or not sock.getsockopt(
+                socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise ConfigError(f"{expected} {text}, which is none")
+    return int(text)
+
+
 def load(environ, again=False):
     """The configuration that the PROXY_* variables name. Read again, the file goes before the variables: they are
     those of the start, and only the file can have changed."""
@@ -224,6 +245,7 @@
         raise ConfigError(f"seed: expected hex digits, found {brief(seed)}") from None
     return Config(
         name=told.text("name"), listen=told.address("listen"), discovery=told.address("discovery"),
+        listen_fd=listening((environ or {}).get("PROXY_LISTEN_FD")),
         management=told.address("management") if told.value.get("management") is not None else None,
         counter=told.address("counter") if set_up.may_count else None, seed=seed,
         memory_mb=limits.number("memory_mb", 192), sockets=limits.whole("sockets", 1024, 64),
--- a/petrellane/net/driver.py
+++ b/petrellane/net/driver.py
@@ -6,6 +6,7 @@
 from petrellane import interface as api
 from petrellane.choice import Gateway
 from petrellane.net.exchange import BadField
+from petrellane.operation import succession
 
 
 class Driver:
@@ -18,7 +19,7 @@
         self.customers, self.hosts, self.exchanges = WeakValueDictionary(), {}, {}
         self.ids = {}    # id -> exchange, while it is open
         self.tally = Counter()    # what came, went out and was answered since the last figures, by kind
-        self.upstream = self.counter = None    # set before the first event
+        self.upstream = self.counter = self.handover = None    # set before the first event
         self.carriers = {api.CallOut: self.call_out, api.PushBack: self.push_back, api.Abort: self.abort,
                          api.Cancel: self.cancel, api.Add: self.add, api.Wake: self.wake,
                          api.Log: self.note, api.Subscribe: self.subscribe}
@@ -73,10 +74,7 @@
         units, gateways = exchange.units(self.settings.most_units), self.settings.gateways
         first, spread = exchange.whole("first", 0, 0, gateways - 1), exchange.whole("spread", 1, 1, gateways)
         name = exchange.customer.decode()
-        customer = self.customers.get(name)
-        if customer is None:
-            customer = self.customers[name] = api.Customer(name, plan)
-        customer.plan, customer.first, customer.spread = plan, first, spread
+        customer = self.customer(name, plan, first, spread)
         came = self.scheduler.since()    # its patience may have run while we stood still
         rpc = exchange.rpc = api.Rpc(method, customer, units, came + min(exchange.patience, method.deadline), came,
                                      resent=exchange.named.get("r") == "1", write=method.effect != api.IDEMPOTENT)
@@ -84,6 +82,24 @@
         self.tally["rpcs"] += 1
         self.tell(rpc, self.gateway.place, now, rpc)
 
+    def customer(self, name, plan, first, spread):
+        customer = self.customers.get(name)
+        if customer is None:
+            customer = self.customers[name] = api.Customer(name, plan)
+        customer.plan, customer.first, customer.spread = plan, first, spread
+        return customer
+
+    def taken(self, rows):
+        """Take over the leases that the process before has given up; how many."""
+        plans = self.settings.plans
+        return succession.taken(self.gateway, self.now(), rows, lambda name, plan, first, spread: plan in plans and
+                                self.customer(name, plans[plan], first, spread))
+
+    def settled(self, name, number):
+        """So many RPCs of a customer that the process before still had have ended."""
+        if customer := self.customers.get(name):
+            succession.settled(self.gateway, self.now(), customer, number)
+
     def tell(self, rpc, call, *words, **more):
         """Tell the module of an RPC. A fault of ours is logged, and the RPC has its answer all the same."""
         try:
@@ -133,6 +149,8 @@
         if exchange:
             del self.ids[exchange.id]
             exchange.finish(*answer)
+            if self.handover:
+                self.handover.owed(rpc.customer.name)
 
     def call_out(self, step):
         exchange = self.exchanges.get(step.rpc)
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -1,6 +1,7 @@
 """One gateway, put together from its parts."""
 
 import gc
+import math
 import select
 import signal
 import socket
@@ -17,6 +18,8 @@
 from petrellane.net.scheduler import Scheduler
 from petrellane.net.server import Server
 from petrellane.net.upstream import Upstream
+from petrellane.operation import succession
+from petrellane.operation.handover import Handover
 from petrellane.operation.management import Management
 from petrellane.operation.states import Service
 
@@ -39,12 +42,23 @@
         if config.counter:
             self.driver.counter = Counter(self.scheduler, self.limits, config.counter, self.driver.counted)
         self.discovery = self.watch(config.known.index if config.known.entries else None)
-        self.ending = False
+        self.ending = self.succeeding = False
+        self.handover = None
+        if config.listen_fd is not None:
+            self.handover = self.driver.handover = Handover(self.scheduler, self.limits, self.log, self.give,
+                                                            self.hand, self.driver.taken, self.server.adopt,
+                                                            self.driver.settled)
 
     def watch(self, index):
-        return Discovery(self.scheduler, self.limits, self.log, self.config.discovery, index, self.driver.listed,
+        return Discovery(self.scheduler, self.limits, self.log, self.config.discovery, index, self.listed,
                          self.driver.gateway.random)
 
+    def listed(self, told):
+        """Discovery has told of a list, or its call failed."""
+        self.driver.listed(told)
+        if told:
+            self.succeed()
+
     def run(self):
         """Serve until `end`, and until all that was taken is answered."""
         self.start()
@@ -58,13 +72,41 @@
         """Listen, and watch the host list; the scheduler does the rest."""
         self.driver.start(self.config.known)
         self.scheduler.spawn(self.discovery.run)
-        self.server.listen(self.config.listen)
         if self.config.management:
             self.management.listen(self.config.management)
         self.beat()
         self.tell()
+        if self.handover:
+            self.server.inherit(self.config.listen_fd)
+            self.scheduler.after(self.limits.listed, self.succeed)
+        else:
+            self.server.listen(self.config.listen)
+            self.serve()
+
+    def succeed(self):
+        """Follow the process before, where there is one: once, when we know where hosts are."""
+        if self.handover and not self.succeeding:
+            self.succeeding = True
+            self.handover.ask(self.serve)
+
+    def serve(self):
+        """Take clients."""
+        self.server.attend()
+        self.service.begin()
         self.log.event("started", listen="%s:%d" % self.config.listen, hosts=len(self.driver.hosts))
 
+    def give(self):
+        """Give up what the process that follows is to have, and say what it was."""
+        for pool in self.upstream.pools.values():
+            pool.retire(math.inf)
+        return succession.given(self.driver.gateway, self.scheduler.now())
+
+    def hand(self, heir):
+        """Another process follows; None: it is gone again."""
+        self.server.hand(heir)
+        if not heir:
+            succession.resumed(self.driver.gateway, self.scheduler.now())
+
     def beat(self):
         """Never let a poll last long: one that overruns tells that the process stood still."""
         self.scheduler.after(self.limits.beat, self.beat)
@@ -130,10 +172,15 @@
             self.ending = True
             self.service.end(self.scheduler.now())
             self.log.event("ending", clients=len(self.server.clients), open=len(self.driver.exchanges))
+            if self.server.heir:    # clients go to the next process, not away
+                self.server.end(self.stop)
+                return
             left = self.service.since + self.limits.change_over - self.scheduler.now()
             self.scheduler.after(max(0.0, left), lambda: self.server.end(self.stop))
 
     def stop(self):
         """Nothing is owed to anybody any more."""
         self.management.end()
+        if self.handover:
+            self.handover.close()
         self.scheduler.stop()
--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -7,6 +7,8 @@
 import socket
 from collections import deque
 
+import greenlet
+
 from petrellane.net import resp
 from petrellane.net.exchange import BadField, Exchange, Reply
 from petrellane.net.stream import Closed, Stream
@@ -32,18 +34,24 @@
         self.silent, self.once = {}, {}    # those that have said nothing yet, or one thing, the oldest first
         self.listener, self.attending, self.starved = None, False, 0.0
         self.ended, self.until, self.draining = None, 0.0, False
+        self.heir = None    # what passes connections on to the process that follows, while it does
 
     def listen(self, address):
+        """Hold the address; callers are heard from `attend` on."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind(address)
         sock.listen(self.limits.backlog)
         self.listener = sock
-        self.attend()
+
+    def inherit(self, descriptor):
+        """The same with a listening socket that others hold as well, and that outlives us."""
+        self.listener = socket.socket(fileno=descriptor)
+        self.listener.setblocking(False)
 
     def attend(self):
-        if self.listener:
+        if self.listener and not self.heir and not self.attending:
             self.attending = True
             self.scheduler.register(self.listener.fileno(), select.POLLIN, self.accept)
 
@@ -59,12 +67,32 @@
                 return
             client = Client(self, Stream(self.scheduler, self.limits, sock))
             self.clients[client] = self.silent[client] = None
+            self.scheduler.spawn(client.run)
             if len(self.clients) > self.limits.client_room:
                 self.shed()
             elif len(self.once) > self.limits.once_room:
                 self.shed_one(self.once)
             self.make_room(0)
-            self.scheduler.spawn(client.run)
+
+    def adopt(self, sock, data, asked):
+        """A connection from the process before, with what it read of the next command."""
+        client = Client(self, Stream(self.scheduler, self.limits, sock))
+        client.stream.buffer += data
+        client.asked = asked
+        self.clients[client] = None
+        self.make_room(0)
+        self.scheduler.spawn(client.run)
+
+    def hand(self, heir):
+        """Take no more clients, and pass on those that are here as each is owed nothing; None: take them again."""
+        self.heir = heir
+        if heir and self.attending:
+            self.attending = False
+            self.scheduler.unregister(self.listener.fileno())
+        elif not heir and not self.ended:
+            self.attend()
+        for client in self.clients:
+            self.scheduler.soon(client.nudge)
 
     def make_way(self, trouble):
         """No descriptor is left: free some and accept again soon, with a line a second at most."""
@@ -130,12 +158,13 @@
     def let_go(self):
         for client in list(self.clients):
             client.let_go()
-        if not self.clients:
+        if not self.clients and not self.heir:
             self.accept()    # whoever came in the meantime is served
         if self.clients and self.scheduler.now() < self.until:
             self.scheduler.after(self.limits.let_go, self.let_go)
             return
         if self.attending:
+            self.attending = False
             self.scheduler.unregister(self.listener.fileno())
         self.listener.close()
         self.listener = None
@@ -151,21 +180,29 @@
         self.came = self.since = server.scheduler.now()    # since when nothing is owed to it
         self.closing, self.finished = False, 0.0    # the connection ends once all is written; and since when it has
         self.asked = False     # it has sent an RPC
+        self.parked, self.stays = None, 0.0    # waits until nothing is owed; is not passed on before then
+        self.offered, self.passed = False, None    # to the process that follows; and whether it is its now
         self.half = None       # when a command that has begun must have come whole
 
     def run(self):
         """Read commands until the client goes away, or is idle or in the middle of a command for too long."""
         try:
             while True:
-                while not self.closing and self.read():    # others have their turn
+                while not self.closing and not self.passing() and self.read():    # others have their turn
                     self.server.scheduler.wait(0)
                 self.let_go()
                 if self.closing:
                     self.pass_over()
                     return
+                if self.passing():
+                    if self.pass_on():
+                        return
+                    continue
                 try:
                     self.stream.fill(self.patience())
                 except TimeoutError:
+                    if self.passing():
+                        continue
                     if self.half:
                         raise resp.Malformed("command not whole in time") from None
                     if self.idle() and self.patience() <= self.server.limits.let_go:
@@ -184,6 +221,48 @@
                     self.server.left(reply)
             self.owed.clear()
 
+    def passing(self):
+        """Whether the process that follows is to have this connection; not in the midst of a long command."""
+        server = self.server
+        return server.heir and len(self.stream.buffer) <= server.limits.passed and server.scheduler.now() >= self.stays
+
+    def pass_on(self):
+        """Wait until nothing is owed, then pass the connection on; False when it stays here."""
+        server = self.server
+        self.stream.hold()
+        while (self.owed or self.stream.unsent) and not self.stream.broken and not self.closing and server.heir:
+            self.park(server.limits.let_go)
+        if self.stream.broken:
+            raise self.stream.broken
+        if server.heir and not self.closing:
+            self.stream.detach()
+            self.offered, self.passed = True, None
+            server.heir.pass_on(self.stream.sock, self.stream.buffer, self.asked, self.judged)
+            while self.passed is None:
+                self.park()
+            if self.passed:
+                return True
+            self.offered, self.stays = False, server.scheduler.now() + server.limits.take_back
+            self.stream.attach()
+        self.stream.hold(False)
+        return False
+
+    def judged(self, passed):
+        self.passed = passed
+        self.server.scheduler.soon(self.nudge)
+
+    def park(self, seconds=None):
+        self.parked = greenlet.getcurrent()
+        self.server.scheduler.wait(seconds)
+        self.parked = None
+
+    def nudge(self):
+        """Something has changed that this connection may wait for."""
+        if self.parked:
+            self.parked.switch()
+        elif self.stream.reader:
+            self.stream.reader.switch(False)
+
     def patience(self):
         """How long to wait for what comes next."""
         limits, now = self.server.limits, self.server.scheduler.now()
@@ -255,13 +334,16 @@
         if pieces:
             self.since = self.server.scheduler.now()
             self.stream.write(*pieces)
-            if not self.owed and self.server.service.state == DRAINING:
+            if not self.owed and self.parked:
+                self.server.scheduler.soon(self.nudge)
+            elif not self.owed and self.server.service.state == DRAINING:
                 self.let_go()
             self.let_go()
 
     def idle(self):
         """Whether it is owed nothing and has sent nothing that we have not read."""
-        return not self.owed and not self.stream.buffer and not self.stream.unsent and self.stream.quiet()
+        stream = self.stream
+        return not self.offered and not self.owed and not stream.buffer and not stream.unsent and stream.quiet()
 
     def let_go(self):
         """Close a connection that is to end, when nothing is owed on it."""
@@ -271,6 +353,8 @@
             self.stream.finish()
             if now - self.finished > self.server.limits.linger:
                 self.stream.close()
+        elif self.offered or self.server.heir and not self.closing:
+            pass    # it goes to another process
         elif self.server.service.lets_go(now) and self.goes(now) and self.idle():
             self.stream.close()
         elif not self.closing and not self.server.service.takes(now, self.came):    # what it sends from now on is not read
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -24,6 +24,7 @@
         self.unsent = deque()            # to be written
         self.queued = self.sent = 0      # bytes handed over for writing, and written, in all
         self.reader, self.dialing, self.broken = None, False, None
+        self.held = False    # nothing is read for a while, however much comes
         sock.setblocking(False)
         if sock.family != socket.AF_UNIX:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -65,7 +66,17 @@
             self.events = events
             self.scheduler.modify(self.sock.fileno(), events)
 
+    def hold(self, held=True):
+        """Read nothing for a while, or again."""
+        self.held = held
+        self.watch(self.wanted())
+
+    def wanted(self):
+        return (0 if self.held else READ) | (WRITE if self.unsent else 0)
+
     def on_events(self, events):
+        if self.held and events & ~(READ | WRITE):
+            self.sock_failed()
         if not self.dialing:
             if events & WRITE:
                 self.flush()
@@ -100,7 +111,7 @@
         for piece in pieces:
             self.unsent.append(memoryview(piece))
             self.queued += len(piece)
-        if self.events == READ:
+        if not self.dialing and not self.events & WRITE:
             self.flush()
 
     def flush(self):
@@ -119,7 +130,22 @@
                 self.fail("the peer reads nothing")
         except OSError as error:
             self.fail(str(error))
-        self.watch(READ | WRITE if self.unsent else READ)
+        self.watch(self.wanted())
+
+    def sock_failed(self):
+        """Both ways are over: the poll would tell it at once again, for as long as nobody reads."""
+        self.scheduler.unregister(self.sock.fileno())
+        self.fail("ended by the peer")
+
+    def detach(self):
+        """Give the socket to somebody else: nothing of it is watched or written here any more."""
+        if self.sock.fileno() in self.scheduler.calls:
+            self.scheduler.unregister(self.sock.fileno())
+
+    def attach(self):
+        """Take it back."""
+        self.events = self.wanted()
+        self.scheduler.register(self.sock.fileno(), self.events, self.on_events)
 
     def fail(self, reason):
         """Writing is over: the reader learns of it, whoever writes need not."""
@@ -153,6 +179,6 @@
         """End the connection at once; its reader, if another greenlet, ends with Closed."""
         if self.sock.fileno() < 0:
             return
-        self.scheduler.unregister(self.sock.fileno())
+        self.detach()
         self.sock.close()
         self.fail("closed here")
--- a/petrellane/operation/states.py
+++ b/petrellane/operation/states.py
@@ -3,11 +3,12 @@
 `Service` is told of calls and signals with the time at which they came, and answers plain questions. It promises that
 each call has one stated result in each state; closing connections and telling callers is left to others.
 
+    starting --begin--> serving
     serving --drain--> draining --(no client left)--> drained --resume--> serving
     any of them --end--> ending, from which nothing leads back
 """
 
-SERVING, DRAINING, DRAINED, ENDING = "serving", "draining", "drained", "ending"
+STARTING, SERVING, DRAINING, DRAINED, ENDING = "starting", "serving", "draining", "drained", "ending"
 
 
 class Service:
@@ -17,7 +18,12 @@
 
     def __init__(self, change_over, last_command):
         self.change_over, self.last_command = change_over, last_command
-        self.state, self.since = SERVING, 0.0
+        self.state, self.since = STARTING, 0.0
+
+    def begin(self):
+        """It takes clients from now on, unless it was told something else before."""
+        if self.state == STARTING:
+            self.state = SERVING
 
     @property
     def ready(self):
@@ -27,24 +33,24 @@
     @property
     def welcomes(self):
         """Whether a client that asks is told to come. One that ends is left by its platform, not by its clients."""
-        return self.state in (SERVING, ENDING)
+        return self.state in (STARTING, SERVING, ENDING)
 
     def drain(self, now):
         """Empty the gateway. Said again, the first call's times hold; while it ends, it empties all the same."""
-        if self.state == SERVING:
+        if self.state in (STARTING, SERVING):
             self.state, self.since = DRAINING, now
         return True
 
     def resume(self):
-        """Take clients again; False when it is ending."""
-        if self.state != ENDING:
+        """Take clients again; False when it is ending, or does not take any yet."""
+        if self.state in (DRAINING, DRAINED):
             self.state = SERVING
         return self.state == SERVING
 
     def end(self, now):
         """Let clients go for good; a drain that is on has had its change-over, or goes on with it."""
         if self.state != ENDING:
-            self.since = now if self.state == SERVING else self.since
+            self.since = now if self.state in (STARTING, SERVING) else self.since
             self.state = ENDING
 
     def emptied(self, clients):
@@ -56,8 +62,8 @@
 
     def lets_go(self, now):
         """Whether a connection that is owed nothing ends."""
-        return self.state != SERVING and now - self.since >= self.change_over
+        return self.state not in (STARTING, SERVING) and now - self.since >= self.change_over
 
     def takes(self, now, came):
         """Whether a connection that came then takes a new command."""
-        return self.state in (SERVING, ENDING) or now - max(self.since, came) < self.last_command
+        return self.state in (STARTING, SERVING, ENDING) or now - max(self.since, came) < self.last_command
--- /dev/null
+++ b/petrellane/operation/succession.py
@@ -0,0 +1,107 @@
+"""How one process of a gateway follows another, as rules free of I/O.
+
+Two processes of one gateway are one gateway to everybody else: each lease, each share of a ceiling and each client
+connection has one holder at a time. What is given was first given up, so that what gets lost on the way is held by
+nobody. A connection goes over in three steps: offered, got, yours. The new process reads from it after the third one
+alone, and the old one may take it back until the second has come.
+"""
+
+from collections import Counter
+
+VERSION = 1
+CHUNK = 100    # leases in one message
+
+
+def asks():
+    """What the new process says first."""
+    return {"ask": VERSION}
+
+
+def answers_to(message):
+    """What the old process says to the first message: None where it gives what it has, else a refusal."""
+    return None if message.get("ask") == VERSION else {"refused": VERSION}
+
+
+def given(gateway, now):
+    """The messages that tell all leases of a module's gateway, which gives them up; the last one says so."""
+    rows = [{"customer": customer.name, "plan": customer.plan.name, "first": customer.first, "spread": customer.spread,
+             "lease": lease.given(now)} for customer, lease in gateway.leases.leases.items()]
+    return [{"leases": rows[at:at + CHUNK]} for at in range(0, len(rows), CHUNK)] + [{"given": len(rows)}]
+
+
+def taken(gateway, now, rows, customer_of):
+    """Take over leases as they were told; `customer_of` gives the customer of a row, None where its plan is unknown.
+    The number taken; a row of no form is held by nobody."""
+    number = 0
+    for row in rows:
+        try:
+            customer = customer_of(row["customer"], row["plan"], int(row["first"]), int(row["spread"]))
+            if customer:
+                gateway.leases.of(customer, now).taken(row["lease"])
+                number += 1
+        except (KeyError, TypeError, ValueError):
+            continue
+    return number
+
+
+def settled(gateway, now, customer, number):
+    """So many call-outs of a customer, taken over as out, are out no more."""
+    lease = gateway.leases.of(customer, now)
+    lease.out = max(0, lease.out - number)
+
+
+def resumed(gateway, now):
+    """What was given is gone: shares of ceilings grow again, from nothing."""
+    for lease in gateway.leases.leases.values():
+        lease.filled = min(lease.filled, now)
+
+
+class Giver:
+    """The old process's end: which connections are offered and not yet got."""
+
+    def __init__(self):
+        self.offered, self.number = {}, 0
+
+    def offer(self, thing):
+        """Offer something; its number."""
+        self.number += 1
+        self.offered[self.number] = thing
+        return self.number
+
+    def withdraw(self, number):
+        """Take back what was not got in time; False where it was got."""
+        return self.offered.pop(number, None) is not None
+
+    def got(self, number):
+        """The other end has it. What was offered, now to be let go of, and the word for the other end."""
+        thing = self.offered.pop(number, None)
+        return thing, {"yours" if thing else "kept": number}
+
+
+class Taker:
+    """The new process's end: what it got and does not own yet."""
+
+    def __init__(self):
+        self.pending, self.rows, self.outs = {}, [], Counter()
+
+    def told(self, message, thing=None):
+        """A message from the old process, with what came along. The answer to it, if any; what is ours now; and
+        what is to be dropped."""
+        if "client" in message and thing is not None:
+            self.pending[message["client"]] = thing
+            return {"got": message["client"]}, None, None
+        if "leases" in message:
+            self.rows += message["leases"]
+            self.outs.update({row["customer"]: row["lease"]["out"] for row in message["leases"]})
+        owned = self.pending.pop(message.get("yours"), None)
+        return None, owned, thing or self.pending.pop(message.get("kept"), None)
+
+    def ended(self, customer):
+        """An RPC of this customer has ended there; whether it was out when leases were given."""
+        self.outs[customer] -= 1
+        return self.outs[customer] >= 0
+
+    def broken(self):
+        """The old process is gone: what it did not make ours is nobody's, and is to be dropped."""
+        pending, self.pending = list(self.pending.values()), {}
+        return pending
--- a/tests/operation/cases.py
+++ b/tests/operation/cases.py
@@ -2,12 +2,18 @@
 
 import unittest
 
+import orjson
 from hypothesis import given
 from hypothesis import strategies as some
 
-from petrellane.operation import calls
+from petrellane import interface as api
+from petrellane.choice import Gateway
+from petrellane.operation import calls, succession
 from petrellane.operation.states import DRAINED, ENDING, SERVING, Service
 
+SETTINGS = dict(zone="z", counter=True, counter_timeout=0.05, max_call_outs=4, may_cancel=True, max_wait=0.5,
+                cold=10.0, cold_from=0.25, cross_zone=0.0, must_ask=False)
+
 
 class States(unittest.TestCase):
 
@@ -27,6 +33,7 @@
     def test_nothing_leads_back_from_the_end(self, told):
         """Whatever is called, a gateway that ends goes on ending, and one that isn't ready lets clients go in time."""
         service, now, ending = Service(0.5, 1.8), 100.0, False
+        service.begin()
         for what in told:
             now += 0.1
             {"drain": lambda: service.drain(now), "resume": service.resume, "end": lambda: service.end(now),  # noqa: B023
@@ -59,3 +66,73 @@
     def test_any_bytes_have_a_verdict(self, head):
         path, status = calls.understood(head)
         self.assertTrue(path in calls.PATHS if path else status in calls.REASONS)
+
+
+class Succession(unittest.TestCase):
+
+    @given(some.lists(some.tuples(some.sampled_from(["offer", "back", "to_new", "to_old"]), some.integers(0, 3)),
+                      max_size=40), some.booleans())
+    def test_a_connection_has_one_reader(self, told, cut):
+        """Offers, words on their way both ways, and times that run out, in any order: nobody reads what another does,
+        and when the link is cut nothing has two holders."""
+        giver, taker, to_new, to_old = succession.Giver(), succession.Taker(), [], []
+        here, there = set(), set()
+        things = iter(range(100))
+        for what, which in told:
+            if what == "offer":
+                thing = next(things)
+                to_new.append(({"client": giver.offer(thing)}, thing))
+            elif what == "back" and giver.offered:
+                number = sorted(giver.offered)[which % len(giver.offered)]
+                here.add(giver.offered[number])
+                giver.withdraw(number)
+            elif what == "to_new" and to_new:
+                message, thing = to_new.pop(0)
+                answer, ours, dropped = taker.told(message, None if thing is None else (thing,))
+                there |= set(ours or ())
+                self.assertFalse(set(dropped or ()) & there)
+                to_old += [answer] if answer else []
+            elif what == "to_old" and to_old:
+                _, answer = giver.got(to_old.pop(0)["got"])
+                to_new.append((answer, None))
+            self.assertFalse(here & there)
+        if cut:
+            here |= set(giver.offered.values())
+            dropped = {thing for thing, in taker.broken()}
+            self.assertFalse(here & there or dropped & there)
+
+    def lease(self, plan, rpcs=()):
+        """A gateway's leases with one of this plan, some of its ceiling spent by RPCs that wait."""
+        gateway = Gateway(**SETTINGS, seed=1)
+        gateway.started(100.0)
+        customer = api.Customer("c", plan)
+        lease = gateway.leases.of(customer, 110.0)
+        lease.waiting += rpcs
+        return gateway, lease
+
+    def test_what_is_given_has_one_holder(self):
+        """Ceiling and credit are the new process's, but for what waits here; here neither grows any more."""
+        plan = api.Plan("p", rate=5.0, store=10.0, ceiling_rate=2.0, ceiling_burst=8.0)
+        waits = api.Rpc(api.Method("m", 1.0, 2.0), api.Customer("c", plan), 3.0, 112.0, 110.0)
+        old, lease = self.lease(plan, [waits])
+        before, lease.held, lease.out = lease.fill_ceiling(110.0), 4.0, 2
+        rows = [row for message in succession.given(old, 110.0) for row in message.get("leases", ())]
+        rows = orjson.loads(orjson.dumps(rows))
+        new = Gateway(**SETTINGS, seed=2)
+        new.started(110.0)
+        customers = {"c": api.Customer("c", plan)}
+        number = succession.taken(new, 110.0, rows + [{"customer": "c"}, {}], lambda name, *_: customers[name])
+        follows = new.leases.of(customers["c"], 110.0)
+        self.assertEqual((number, follows.held, follows.out, lease.held), (1, 4.0, 2, 0.0))
+        self.assertEqual(lease.ceiling, 3.0)
+        self.assertAlmostEqual(lease.ceiling + follows.fill_ceiling(110.0), before)
+        self.assertEqual(lease.fill_ceiling(150.0), 3.0)
+        self.assertAlmostEqual(follows.fill_ceiling(111.0), min(before - 3.0 + 2.0, 8.0))
+        succession.settled(new, 110.0, customers["c"], 5)
+        self.assertEqual(follows.out, 0)
+        succession.resumed(old, 150.0)    # the new one is gone: what it had is nobody's
+        self.assertAlmostEqual(lease.fill_ceiling(151.0), 5.0)
+
+    def test_another_version_is_refused(self):
+        self.assertIsNone(succession.answers_to(succession.asks()))
+        self.assertEqual(succession.answers_to({"ask": 0}), {"refused": succession.VERSION})
--- /dev/null
+++ b/tests/operation/upgrades.py
@@ -0,0 +1,163 @@
+"""One process of a gateway follows another: whole processes, and a listening socket that the test holds."""
+
+import os
+import signal
+import socket
+import threading
+import time
+import unittest
+
+import orjson
+
+from tests.operation.world import PATIENCE, World, answer
+
+
+class Upgrades(unittest.TestCase):
+
+    def setUp(self):
+        self.world = World()
+        self.addCleanup(self.world.close)
+        self.old = self.world.start()
+        self.world.ready(self.old)
+
+    def ask(self, client, rpc, wanted=None, **more):
+        self.world.send(client, rpc, **more)
+        self.assertEqual(answer(client), wanted or b"$" + rpc)
+
+    def test_connections_go_over_with_what_is_owed_on_them(self):
+        """Nothing is lost, no connection ends, and what the old process has taken it answers."""
+        world, busy, idle = self.world, self.world.client(), [self.world.client() for _ in range(5)]
+        for client in idle:
+            self.ask(client, b"before")
+        world.gates["held"] = threading.Event()
+        world.send(busy, b"held", b"post")
+        half = world.client()
+        half.sendall(b"*4\r\n$9\r\nSVC.QU")
+        time.sleep(0.1)
+        new = world.start()
+        self.assertLess(world.ready(new), 5.0)
+        self.ask(world.client(), b"new")
+        for client in idle:
+            self.ask(client, b"after")
+        half.sendall(b"ERY\r\n$16\r\n%016x\r\n$4\r\nhalf\r\n$26\r\nc=look,t=basic,d=900,r=1,x\r\n" % 1)
+        self.assertEqual(answer(half), b"$half")
+        self.old.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        self.assertIsNone(self.old.poll())    # it owes an answer
+        world.gates["held"].set()
+        self.assertEqual(answer(busy), b"$held")
+        self.assertEqual(self.old.wait(PATIENCE), 0)
+        for client in [busy, *idle]:
+            self.ask(client, b"last")
+        self.assertEqual(world.ran.count("held"), 1)
+
+    def test_twice_in_a_row(self):
+        client, processes = self.world.client(), [self.old]
+        for number in range(3):
+            self.ask(client, b"rpc%d" % number)
+            processes.append(self.world.start())
+            self.world.ready(processes[-1])
+            processes[-2].send_signal(signal.SIGTERM)
+            self.assertEqual(processes[-2].wait(PATIENCE), 0)
+        self.ask(client, b"end")
+
+    def test_the_new_process_is_killed_after_its_yes(self):
+        """What it had is lost with it; the old one takes clients again, and a third follows it."""
+        new = self.world.start()
+        self.world.ready(new)
+        new.kill()
+        new.wait()
+        self.ask(self.world.client(), b"again")
+        third = self.world.start()
+        self.world.ready(third)
+        self.old.send_signal(signal.SIGTERM)
+        self.assertEqual(self.old.wait(PATIENCE), 0)
+        self.ask(self.world.client(), b"third")
+
+    def test_a_process_that_is_gone_has_left_its_file(self):
+        self.old.kill()
+        self.old.wait()
+        self.assertTrue(os.path.exists(os.path.join(self.world.folder, "petrellane.sock")))
+        new = self.world.start()
+        self.assertLess(self.world.ready(new), 3.0)
+        self.ask(self.world.client(), b"alone")
+
+    def test_the_old_process_stands_still(self):
+        """The new one does not wait for it without end; once it runs again, both serve and nothing is lost."""
+        client = self.world.client()
+        self.ask(client, b"one")
+        self.old.send_signal(signal.SIGSTOP)
+        new = self.world.start()
+        self.assertLess(self.world.ready(new), 5.0)
+        self.ask(self.world.client(), b"two")
+        self.old.send_signal(signal.SIGCONT)
+        self.ask(client, b"three")
+        self.old.send_signal(signal.SIGTERM)
+        self.assertEqual(self.old.wait(PATIENCE), 0)
+
+    def test_one_of_another_version_is_refused(self):
+        """And whoever says what means nothing ends its own link only."""
+        for said, answered in ((orjson.dumps({"ask": 99}) + b"\n", b'{"refused":1}\n'), (b"nonsense", b""),
+                               (b"[]\n", b""), (b'{"got":7}\n', None)):
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+                sock.connect(os.path.join(self.world.folder, "petrellane.sock"))
+                sock.settimeout(PATIENCE)
+                sock.send(said)
+                if answered is not None:
+                    self.assertEqual(sock.recv(4096), answered)
+        self.ask(self.world.client(), b"fine")
+
+    def test_a_customer_near_its_ceiling_gets_no_second_one(self):
+        """Ten units of ceiling, hardly any more with time: both processes together let ten RPCs through."""
+        world = World("settings.contracts.0.ceilingRate=0.01", "settings.contracts.0.ceilingBurst=10",
+                      "settings.contracts.0.quotaRate=0")
+        self.addCleanup(world.close)
+        old = world.start()
+        world.ready(old)
+        time.sleep(0.1)
+        old.send_signal(0)
+        client = world.client()
+        said = []
+        for number in range(30):
+            if number == 5:
+                new = world.start()
+                world.ready(new)
+            world.send(client, b"rpc%d" % number)
+            said.append(answer(client)[:1])
+        self.assertLessEqual(said.count(b"$"), 10)
+
+    def test_no_listening_socket(self):
+        """Exit code 2 and what was found."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+            os.set_inheritable(other.fileno(), True)
+            for text, found in (("three", "three"), ("99", "Bad file"), ("-1", "-1")):
+                process = self.world.start(PROXY_LISTEN_FD=text)
+                self.assertEqual(process.wait(PATIENCE), 2)
+                said = process.stderr.read().decode()
+                self.assertIn("PROXY_LISTEN_FD: expected the descriptor of a listening TCP socket", said)
+                self.assertIn(found, said)
+
+    def test_drain_belongs_to_the_process_that_was_told(self):
+        world = self.world
+        self.assertEqual(world.call(self.old, "POST", "/-/drain"), 200)
+        new = world.start()
+        world.ready(new)
+        self.assertEqual(world.call(self.old, "GET", "/-/ready"), 503)
+        self.ask(world.client(), b"new")
+
+    def test_memory_and_descriptors_of_both(self):
+        """Two processes together stay within what one may hold."""
+        clients = [self.world.client() for _ in range(40)]
+        for client in clients:
+            self.ask(client, b"x")
+        new = self.world.start()
+        self.world.ready(new)
+        for client in clients:
+            self.ask(client, b"y")
+        held, memory = 0, 0
+        for process in (self.old, new):
+            held += len(os.listdir(f"/proc/{process.pid}/fd"))
+            with open(f"/proc/{process.pid}/status") as status:
+                memory += next(int(line.split()[1]) for line in status if line.startswith("VmRSS"))
+        self.assertLess(held, self.world.told["limits"]["sockets"])
+        self.assertLess(memory / 1024, 80)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -11,7 +11,8 @@
 from petrellane import interface as api
 from petrellane.choice import Gateway
 from tests.model.cases import BadScenario, Judged, Model
-from tests.operation.cases import Calls, States
+from tests.operation.cases import Calls, States, Succession
+from tests.operation.upgrades import Upgrades
 from tests.sockets import Net
 
 SETTINGS = dict(zone="z1", counter=True, counter_timeout=0.05, max_call_outs=4, may_cancel=True, max_wait=0.5,
@@ -268,7 +269,7 @@
 def main():
     """Run all scenarios and close with the plain line that counts them."""
     load = unittest.defaultTestLoader.loadTestsFromTestCase
-    cases = [Scenarios, Sockets, States, Calls, Model, BadScenario, Judged]
+    cases = [Scenarios, Sockets, States, Calls, Succession, Upgrades, Model, BadScenario, Judged]
     result = unittest.TextTestRunner(verbosity=1).run(unittest.TestSuite(map(load, cases)))
     failed = len(result.failures) + len(result.errors)
     print(f"{result.testsRun - failed} passed, {failed} failed")
