--- a/petrellane/benchlink/door.py
+++ b/petrellane/benchlink/door.py
@@ -39,7 +39,7 @@
         self.closing = []    # RPCs that may be let go of once the event's lines are made
         self.adds = defaultdict(deque)
         self.wakes, self.nonce = {}, 0
-        self.gateway = Gateway(seed=seed, **told.gateway)
+        self.gateway = Gateway(seed=seed, counter=told.may_count, must_ask=told.must_ask, **told.gateway)
 
     def start(self, now):
         """The instance's first actions."""
--- a/petrellane/choice.py
+++ b/petrellane/choice.py
@@ -1,8 +1,7 @@
 """Every decision of the gateway; the types it takes and returns are in petrellane/interface.py.
 
 Make one Gateway per instance from the settings, then tell it what happens: started, listed, place (an RPC
-came), again (a call-out ended), counted, left, woken. Each call takes the clock first and answers with steps.
-"""
+came), again (a call-out ended), counted, left, woken. Each call takes the clock first, answers with steps."""
 
 import hashlib
 import math
@@ -39,8 +38,8 @@
 LOCAL = 3.0           # odds of a host in our own zone, where crossing has a price
 GO_AGAIN = 0.2        # further call-outs, as a share of the last hundred
 PROVEN = (FULL, UNREACHABLE, NEVER_SENT)    # outcomes that prove a call-out never ran; no other does
-HANDED = ("window ends shares held got added owed total carry part dry_until single_at since ceiling filled pooled "
-          "pool_at busy out").split()    # what makes a lease, for the process that follows this one
+HANDED = ("window ends shares held got added owed total carry part dry_until single_at since ceiling filled "
+          "pooled pool_at busy out").split()    # what makes a lease, for the process that follows this one
 
 
 def stable(text):    # a whole number below 2**63 for a text, the same in every process
@@ -60,23 +59,25 @@
     """One customer's credit at this gateway, for the window that is running."""
 
     def __init__(self, customer, now, born):
-        plan = customer.plan
         self.customer, self.even = customer, 1 / max(1, customer.spread)    # our share of what is shared
-        self.length, self.allowance, self.phase = math.inf, math.inf, 0.0
-        if plan.rate:
-            self.length = WINDOW * plan.store / plan.rate
-            self.allowance = plan.rate * self.length
-            self.phase = stable(customer.name) / 2 ** 63 * self.length
-        self.window, self.ends, self.shares = None, now, True
         self.held = self.got = self.added = self.owed = self.total = self.dry_until = 0.0
         self.carry = None    # what the window before left; unknown until asked for
-        self.out, self.part = 0, 0.0    # call-outs out; our part of the last ledger
+        self.out, self.part, self.queue = 0, 0.0, []    # call-outs out; of the last ledger; waits for ceiling
         self.ask, self.waiting, self.single_at = None, [], now    # when a share may be one RPC
         self.since, self.demand = now, deque(maxlen=256)
         self.ceiling, self.filled = 0.0, born    # a life begins with nothing: lives in a row never add up
-        self.pool = POOL * plan.ceiling_slack * (self.even < 1)
         self.pooled, self.pooling, self.pool_at, self.busy = 0.0, 0.0, now, False
-        self.queue = []    # RPCs that wait for a piece of ceiling
+        self.fit(now)
+
+    def fit(self, now):    # to the customer's plan: at first, and when new settings say something else of it
+        self.plan = plan = self.customer.plan
+        self.length, self.allowance, self.phase = math.inf, math.inf, 0.0
+        if plan.rate:
+            self.length = WINDOW * plan.store / plan.rate
+            self.allowance = plan.rate * self.length
+            self.phase = stable(self.customer.name) / 2 ** 63 * self.length
+        self.window, self.ends, self.shares = None, now, True
+        self.pool = POOL * plan.ceiling_slack * (self.even < 1)
 
     def roll(self, now):
         """Enter the window that `now` lies in; credit of an older one is void."""
@@ -86,8 +87,7 @@
         self.ends = (self.window + 1) * self.length - self.phase
         self.part = min(1.0, self.got / self.total) if self.total else self.part
         self.busy = self.total > self.customer.plan.ceiling_rate * self.even * self.length    # for one of us
-        self.pooled = 0.0
-        self.held = self.got = self.added = self.owed = self.total = self.dry_until = 0.0
+        self.held = self.got = self.added = self.owed = self.total = self.dry_until = self.pooled = 0.0
         self.carry, self.shares = None, True
 
     def share(self, now, silent, units):
@@ -146,8 +146,7 @@
         return told | {"demand": list(self.demand)[-32:]}
 
     def taken(self, told):    # go on with what another process was given up
-        for name in HANDED:
-            setattr(self, name, told[name])
+        vars(self).update({name: told[name] for name in HANDED})
         self.demand.extend((at, units) for at, units in told["demand"])
 
     def top(self):    # the most of the ceiling that we hold
@@ -156,8 +155,8 @@
 
 class Leases:    # the quota: leases credit, spends it locally, refuses when a top-up fails
 
-    def __init__(self, counter, ask_deadline, rng, settle):
-        self.ask_deadline, self.random, self.settle = ask_deadline, rng.random, settle
+    def __init__(self, counter, rng, settle):
+        self.ask_deadline, self.random, self.settle = 0.0, rng.random, settle
         self.look_at = -math.inf if counter else math.inf    # when a silent counter may be asked again
         self.leases, self.most = {}, 100
         self.silent, self.born, self.asks = not counter, math.inf, deque(maxlen=32)    # (at, in time)
@@ -169,6 +168,8 @@
                 self.leases = {who: old for who, old in self.leases.items() if not old.idle(now)}
                 self.most = 2 * len(self.leases) + 100
             lease = self.leases[customer] = Lease(customer, now, self.born)
+        if lease.plan is not customer.plan:
+            lease.fit(now)
         lease.roll(now)
         return lease
 
@@ -221,8 +222,7 @@
 
     def pooled(self, now, add, outcome, total):
         """The counter's word on a piece of ceiling: what the total proves was there is ours, no more."""
-        lease, got, steps = add.pool, 0.0, []
-        lease.pooling = 0.0
+        lease, got, steps, add.pool.pooling = add.pool, 0.0, [], 0.0
         if outcome == OK and add.amount < 0:
             got = min(-add.amount, max(0.0, total - add.amount))
             steps = [Add(add.name, -add.amount - got, lease.length)] if got < -add.amount else []
@@ -240,8 +240,7 @@
                 more = 0.0
             if more:
                 lease.ceiling, lease.pooling = lease.ceiling - max(0.0, more), more
-                second = Add(add.name, more, add.ttl, window=lease.window, again=more > 0, pool=lease)
-                steps.append(second)
+                steps.append(Add(add.name, more, add.ttl, window=lease.window, again=more > 0, pool=lease))
         queue, lease.queue = lease.queue, []
         for rpc in [rpc for rpc in queue if not rpc.ended]:
             verdict, more = self.spend(now, rpc, True)
@@ -296,8 +295,7 @@
                 lease.added -= add.amount if proven else 0.0
                 lease.owed = max(0.0, lease.owed + (add.debt if proven else add.debt - add.amount))
             return self.fail(now, add) if lease else []
-        steps = [Log("counter answers again")] if self.silent else []
-        self.silent = False
+        steps, self.silent = [Log("counter answers again")] if self.silent else [], False
         self.asks.append((now, True))
         if lease is None or add.settled and add.amount <= 0:
             return steps
@@ -360,25 +358,24 @@
 
     def __init__(self):
         self.out = {}                       # call-outs in flight, oldest first: how many were out before
-        self.samples = deque(maxlen=16)     # (at, method, outcome, share of the soft deadline, out beside)
-        self.heard = {}                     # method -> when it last answered one
+        self.samples = deque(maxlen=16)    # (at, method's root, outcome, share of soft deadline, out beside)
+        self.heard = {}                     # method's root -> when it last answered one
 
-    def recent(self, method, now):    # the samples that still speak for it: of this method, or of all
+    def recent(self, root, now):    # the samples that still speak for it: of this method, or of all
         recent = [sample for sample in self.samples if now - sample[0] <= MEMORY]
-        return [sample for sample in recent if sample[1] is method] or recent
+        return [sample for sample in recent if sample[1] is root] or recent
 
 
 class Fleet:    # the hosts: which may be used, how much room each has, and the draw
 
-    def __init__(self, zone, rng, local_odds, cold, cold_from):
-        self.zone, self.local_odds, self.cold, self.cold_from = zone, local_odds, cold, cold_from
+    def __init__(self, rng):
         self.random, self.choices, self.choice, self.sample = rng.random, rng.choices, rng.choice, rng.sample
-        self.hosts = {}
+        self.hosts, self.zone, self.local_odds, self.cold, self.cold_from = {}, "", 1.0, 0.0, 1.0
         self.used, self.exchanged = [], 0.0    # (host, health) in use, drawn at random
         self.out = {}                          # all call-outs in flight, oldest first
         self.sizes = deque(maxlen=256)         # (at, hosts ready until then) of the last lists
         self.lately = deque(maxlen=1024)         # (at, share of the soft deadline, out beside) of the last
-        self.tooks = {}                        # method -> the last times of ok answers
+        self.tooks = {}                        # method's root -> the last times of ok answers
 
     def listed(self, now, full, listings):
         """Take over a list or its changes; what a full list leaves out is gone."""
@@ -417,21 +414,22 @@
         return used
 
     def typical(self, method):    # the usual time of an ok answer of this method
-        return mean(self.tooks.get(method, ()), method.soft_deadline / 8)
+        return mean(self.tooks.get(method.root, ()), method.soft_deadline / 8)
 
     def overdue(self, call_out, now):
         """Whether a call-out is out for so long, its method unanswered there since, that the host must be
         silent. Sooner hurts: an RPC of much work is as long anywhere, and the first run is waste."""
         method, health = call_out.rpc.method, self.hosts.get(call_out.host)
-        heard = health.heard.get(method, -math.inf) if health else -math.inf
+        heard = health.heard.get(method.root, -math.inf) if health else -math.inf
         patience = min(PATIENCE * self.typical(method), LATEST * method.soft_deadline)
         return now - call_out.sent > patience and heard <= call_out.sent
 
     def poor(self, health, method, now):
         """Out of favour: silent, unreachable, or failing much of what it takes of this method."""
-        if any(call_out.rpc.method is method and self.overdue(call_out, now) for call_out in health.out):
+        same = [call_out for call_out in health.out if call_out.rpc.method.root is method.root]
+        if any(self.overdue(call_out, now) for call_out in same):
             return True
-        recent = health.recent(method, now)
+        recent = health.recent(method.root, now)
         bad = sum(sample[2] not in (OK, FULL) for sample in recent)
         return bool(recent) and (bad * 2 > len(recent) + 1 or recent[-1][2] == UNREACHABLE)
 
@@ -453,7 +451,7 @@
 
     def room(self, host, health, method, now, usual, lag):
         """The room a host is thought to have, in no unit but its own."""
-        recent = health.recent(method, now)
+        recent = health.recent(method.root, now)
         fine = (sum(sample[2] == OK for sample in recent) + 2) / (len(recent) + 2)
         load = 1 + len(health.out) / host.share / usual
         local = self.local_odds if host.zone == self.zone else 1.0
@@ -495,13 +493,13 @@
         silent, part = outcome in (CANCELLED, LATE), took / (method.soft_deadline or 1.0)
         part = 1.0 if silent or outcome == FULL else part    # cut short: no less than all
         if outcome == OK:
-            self.tooks.setdefault(method, deque(maxlen=64)).append(took)
+            self.tooks.setdefault(method.root, deque(maxlen=64)).append(took)
         if outcome in (OK, FULL) or silent and not any(at > call_out.sent for at in health.heard.values()):
             self.lately.append((now, part, all_out))    # else the host serves others: it is sick, not behind
         if outcome in (OK, ERROR, FULL):
-            health.heard[method] = now
+            health.heard[method.root] = now
         if outcome not in (NEVER_SENT, CANCELLED) or call_out.cancelled:
-            health.samples.append((now, method, outcome, part, beside))
+            health.samples.append((now, method.root, outcome, part, beside))
 
     def lag(self, samples, out, now):
         """The share of its soft deadline that one more call-out is expected to take: as the last did or those
@@ -525,17 +523,23 @@
 class Gateway:
     """Asked and answers: where an RPC goes, whether to go again, how long to wait."""
 
-    def __init__(self, *, seed, zone, counter, counter_timeout, max_call_outs, may_cancel, max_wait, cold,
-                 cold_from, cross_zone, must_ask):
+    def __init__(self, *, seed, counter, must_ask, **settings):
         rng = random.Random(seed)
         self.random, self.must_ask = rng.random, must_ask
-        self.max_call_outs, self.may_cancel, self.max_wait = max_call_outs, may_cancel, max_wait
-        self.leases = Leases(counter, ASK_SHARE * counter_timeout, rng, self.settle)
-        self.fleet = Fleet(zone, rng, LOCAL if cross_zone else 1.0, cold, cold_from)
+        self.leases, self.fleet = Leases(counter, rng, self.settle), Fleet(rng)
+        self.renewed(**settings)
         self.firsts = deque(maxlen=100)    # of the last call-outs: 0 for a first one, 1 for a further one
         self.values = deque(maxlen=64)     # utility per unit of work of the last RPCs
         self.pressure, self.looking = 0.0, False    # as of the last look round
 
+    def renewed(self, *, zone, counter_timeout, may_cancel, max_wait, cold, cold_from, cross_zone, roots=()):
+        """The settings, at the start and anew; RPCs point to their own methods and plans."""
+        self.may_cancel, self.max_wait = may_cancel, max_wait
+        self.fleet.zone, self.fleet.local_odds = zone, LOCAL if cross_zone else 1.0
+        self.fleet.cold, self.fleet.cold_from = cold, cold_from
+        self.leases.ask_deadline = ASK_SHARE * counter_timeout
+        self.fleet.tooks = {root: tooks for root, tooks in self.fleet.tooks.items() if root in roots}
+
     def started(self, now):    # the first steps of a life
         self.leases.born = now
         return [Subscribe()] if self.must_ask else []
@@ -593,7 +597,7 @@
         group = self.group(now, rpc)
         useful = rpc.deadline if method.late_utility else rpc.arrived + method.soft_deadline
         in_time = now + self.fleet.typical(method) < min(rpc.deadline, useful)
-        may = group and self.budget() and in_time and len(rpc.call_outs) < self.max_call_outs
+        may = group and self.budget() and in_time and len(rpc.call_outs) < method.call_outs
         steps = self.send(now, rpc, group) if may else []
         self.firsts += [1] * bool(steps)
         return steps or [self.give_up(now, rpc)]
@@ -627,7 +631,7 @@
         return []
 
     def streaming(self, now, call_out):    # a streamed answer has begun: the host works
-        self.fleet.hosts.get(call_out.host, Health()).heard[call_out.rpc.method] = now
+        self.fleet.hosts.get(call_out.host, Health()).heard[call_out.rpc.method.root] = now
         return []
 
     def counted(self, now, add, outcome, total):    # the counter has answered an add
--- a/petrellane/cli.py
+++ b/petrellane/cli.py
@@ -37,7 +37,7 @@
     from petrellane.net.node import Node
     node = Node(configuration())
     node.obey({signal.SIGTERM: node.end, signal.SIGINT: node.end,
-               signal.SIGHUP: lambda: node.reload(partial(load, os.environ, again=True))})
+               signal.SIGHUP: lambda: node.reload(partial(load, os.environ))})
     node.run()
 
 
--- a/petrellane/config.py
+++ b/petrellane/config.py
@@ -10,7 +10,7 @@
 import math
 import os
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from typing import NamedTuple
 
 from petrellane import interface as api
@@ -49,10 +49,13 @@
     def flag(self, key, default=False):
         return bool(self.get(key, (bool, int), "true or false", default))
 
-    def number(self, key, default=REQUIRED, least=0.0):
-        value = self.get(key, (int, float), f"a number from {least:g}", default)
-        if value is not default and not (math.isfinite(value) and value >= least):
-            raise ConfigError(f"{self.path}.{key}".lstrip(".") + f": expected a number from {least:g}, found {value}")
+    def number(self, key, default=REQUIRED, least=0.0, above=False):
+        expected = f"a number {'above' if above else 'from'} {least:g}"
+        if key in self.value and self.value[key] is None:
+            raise ConfigError(f"{self.path}.{key}".lstrip(".") + f": expected {expected}, found null")
+        value = self.get(key, (int, float), expected, default)
+        if value is not default and not (math.isfinite(value) and value >= least and not (above and value == least)):
+            raise ConfigError(f"{self.path}.{key}".lstrip(".") + f": expected {expected}, found {value}")
         return value
 
     def whole(self, key, default=REQUIRED, least=0):
@@ -95,9 +98,10 @@
     """The settings object: the module's own part of it ready to hand over, and what the network needs."""
     methods: dict
     plans: dict
+    may_count: bool
+    must_ask: bool
     gateway: dict
     report_fields: list
-    may_count: bool
     counter_timeout: float
     dial_timeout: float
     conn_idle: float
@@ -110,34 +114,60 @@
     """The settings object, checked; the simulator's wire and the configuration file give the same one."""
     family, limits = told.section("familyInfo", {}), told.section("limits", {})
     rules, report = told.section("obligations", {}), told.section("report", {})
-    methods = [method(row) for row in told.sections("classes")]
+    call_outs = limits.whole("maxAttempts", 1, 1)
+    methods = [method(row, call_outs) for row in told.sections("classes")]
     plans = [plan(row) for row in told.sections("contracts")]
+    for rows, path in ((methods, "classes"), (plans, "contracts")):
+        if double := [row.name for at, row in enumerate(rows) if row.name in {other.name for other in rows[:at]}]:
+            raise ConfigError(f"settings.{path}: expected each name once, found {brief(double[0])} twice")
     may_count, counter_timeout = family.flag("mayCount"), family.seconds("counterTimeout")
     return Settings(
         methods={row.name: row for row in methods}, plans={row.name: row for row in plans},
         report_fields=report.get("fields", (list,), "a list of names", []),
-        may_count=may_count, counter_timeout=counter_timeout,
+        may_count=may_count, must_ask=told.text("discovery", "push") == "ask", counter_timeout=counter_timeout,
         dial_timeout=limits.seconds("dialTimeout", 1_000_000), conn_idle=limits.seconds("connIdle", 30_000_000),
         streams=limits.whole("streamsPerConn", 1, 1),
         most_units=family.number("maxUnits", 1e9), gateways=told.whole("replicasOfMe", 1_000_000, 1),
         gateway=dict(
-            zone=told.text("locality", ""), counter=may_count, counter_timeout=counter_timeout,
-            max_call_outs=limits.whole("maxAttempts", 1, 1), may_cancel=limits.flag("mayCancel"),
+            zone=told.text("locality", ""), counter_timeout=counter_timeout,
+            may_cancel=limits.flag("mayCancel"),
             max_wait=limits.seconds("maxRetryAfter") if limits.flag("retryAfter") else 0.0,
             cold=rules.seconds("cold"), cold_from=rules.number("coldFrom", 1.0),
             cross_zone=told.section("prices", {}).number("crossZone", 0.0),
-            must_ask=told.text("discovery", "push") == "ask"))
+            roots={row.root for row in methods}))
+
+
+def renewed(before, now):
+    """The settings that follow others: what has not changed keeps its object, and a method that has its root. Raises
+    ConfigError where something differs that holds from a start to an end."""
+    for key, one, other in (("familyInfo.mayCount", before.may_count, now.may_count),
+                            ("discovery", before.must_ask, now.must_ask)):
+        if one != other:
+            raise ConfigError(f"settings.{key}: expected what it was at the start, found another")
+    methods = {name: replace(row, root=before.methods[name].root) if name in before.methods else row
+               for name, row in now.methods.items()}
+    return replace(now, methods={name: kept(before.methods, row) for name, row in methods.items()},
+                   plans={name: kept(before.plans, row) for name, row in now.plans.items()},
+                   gateway=now.gateway | {"roots": {row.root for row in methods.values()}})
 
 
-def method(row):
+def kept(before, row):
+    """The object of that name from before where it says the same, else this one."""
+    old = before.get(row.name)
+    said = [one.name for one in fields(row)]
+    return old if old and all(getattr(old, name) == getattr(row, name) for name in said) else row
+
+
+def method(row, call_outs):
     effect = row.text("effect")
     if effect not in EFFECTS:
         raise ConfigError(f"{row.path}.effect: expected one of {', '.join(EFFECTS)}, found {brief(effect)}")
     return api.Method(
         name=row.text("name"), effect=EFFECTS[effect],
-        soft_deadline=row.seconds("goalTime", REQUIRED), deadline=row.seconds("giveUp", REQUIRED),
+        soft_deadline=row.seconds("goalTime", REQUIRED), deadline=row.number("giveUp", above=True) / 1e6,
         key_scope=row.text("keyScope", ""), key_window=row.seconds("window"),
-        utility=row.number("worth", 0.0), late_utility=row.number("lateWorth", 0.0), streamed=row.flag("streamed"))
+        utility=row.number("worth", 0.0), late_utility=row.number("lateWorth", 0.0), streamed=row.flag("streamed"),
+        call_outs=call_outs)
 
 
 def plan(row):
@@ -179,6 +209,17 @@
         STATES.get(row.text("status"), api.DRAINING), row.number("weight", 1.0), row.number("since_ms", 0) / 1e3)
 
 
+def lacks(before, told, path=""):
+    """Raise a ConfigError where an object lacks what the one before it had: a file that was cut short and closed again
+    would read as one that leaves things at their defaults. What a list holds may come and go."""
+    for key, value in before.items():
+        here = f"{path}.{key}".lstrip(".")
+        if value is not None and told.get(key) is None:
+            raise ConfigError(f"{here}: missing, expected it as in the file in force")
+        if isinstance(value, dict) and isinstance(told[key], dict):
+            lacks(value, told[key], here)
+
+
 @dataclass(frozen=True)
 class Config:
     """All that a gateway is told at its start."""
@@ -193,6 +234,7 @@
     sockets: int
     known: HostList
     settings: Settings
+    raw: dict    # as it was read, but for the host list
 
 
 def listening(text):
@@ -213,9 +255,9 @@
     return int(text)
 
 
-def load(environ, again=False):
-    """The configuration that the PROXY_* variables name. Read again, the file goes before the variables: they are
-    those of the start, and only the file can have changed."""
+def load(environ, before=None):
+    """The configuration that the PROXY_* variables name. Where one is in force already, the file goes before the
+    variables: they are those of the start, and only the file can have changed."""
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG: missing, expected the path of a JSON file")
@@ -226,19 +268,24 @@
         raise ConfigError(f"PROXY_CONFIG: expected a readable file at {path}: {error.strerror}") from None
     except ValueError as error:
         raise ConfigError(f"PROXY_CONFIG: expected JSON in {path}: {error}") from None
-    return read(told, environ, again)
+    return read(told, environ, before)
 
 
-def read(told, environ=None, again=False):
-    """The configuration from its JSON; at a start, a PROXY_* variable goes before the key that says the same."""
+def read(told, environ=None, before=None):
+    """The configuration from its JSON; at a start, a PROXY_* variable goes before the key that says the same. Raises
+    ConfigError where it will not do, or can't follow the one `before`."""
     told = Section(told)
     for key in ("name", "listen", "discovery", "management"):
         variable = "PROXY_" + key.upper()
-        if environ and environ.get(variable) and not (again and told.value.get(key) is not None):
+        if environ and environ.get(variable) and not (before and told.value.get(key) is not None):
             told.value = {**told.value, key: environ[variable]}
             if key != "name":
                 address(environ[variable], variable)
+    raw = {key: value for key, value in told.value.items() if key != "known"}
+    if before:
+        lacks(before.raw, raw)
     seed, limits, set_up = told.text("seed"), told.section("limits", {}), settings(told.section("settings"))
+    set_up = renewed(before.settings, set_up) if before else set_up
     try:
         seed = int(seed, 16)
     except ValueError:
@@ -249,4 +296,4 @@
         management=told.address("management") if told.value.get("management") is not None else None,
         counter=told.address("counter") if set_up.may_count else None, seed=seed,
         memory_mb=limits.number("memory_mb", 192), sockets=limits.whole("sockets", 1024, 64),
-        known=host_list(told.section("known", {"index": 0, "snapshot": True, "endpoints": []})), settings=set_up)
+        known=host_list(told.section("known", {"index": 0, "snapshot": True, "endpoints": []})), settings=set_up, raw=raw)
--- a/petrellane/interface.py
+++ b/petrellane/interface.py
@@ -11,7 +11,8 @@
 
 @dataclass(eq=False, slots=True)
 class Method:
-    """What the settings say of one method."""
+    """What the settings say of one method. `call_outs` is the most that one RPC may have; methods that stand for the
+    same one, before and after new settings, share a `root`."""
     name: str
     soft_deadline: float
     deadline: float
@@ -21,6 +22,11 @@
     utility: float = 1.0
     late_utility: float = 0.0
     streamed: bool = False
+    call_outs: int = 4
+    root: object = None
+
+    def __post_init__(self):
+        self.root = self.root or object()
 
 
 @dataclass(eq=False, slots=True)
--- a/petrellane/model/fleet.py
+++ b/petrellane/model/fleet.py
@@ -36,9 +36,9 @@
         return sorted(self.verdict.counts)
 
 
-def api_method(told) -> api.Method:
+def api_method(told, call_outs: int) -> api.Method:
     return api.Method(told.name, told.soft_deadline, told.deadline, told.effect, told.scope, told.window,
-                      told.utility, told.late_utility)
+                      told.utility, told.late_utility, call_outs=call_outs)
 
 
 def api_plan(told) -> api.Plan:
@@ -53,13 +53,14 @@
         world = self.world = scenario.world
         self.scenario, self.module, self.heap, self.network = scenario, module, Heap(), Network(world)
         self.answer_slack, self.answers_lost, self.worked = ANSWER_SLACK, 0.0, 0.0
-        self.methods_told, self.methods = scenario.methods, {one.name: api_method(one) for one in scenario.methods}
+        self.methods_told = scenario.methods
+        self.methods = {one.name: api_method(one, world.max_call_outs) for one in scenario.methods}
         self.plans = {one.name: api_plan(one) for one in scenario.plans}
         self.records, self.trace, self.ids = ([], [], {}) if keep else (None, None, {})
         self.keys, self.rng = {}, chance(world.seed, "front")
         self.settings = dict(
-            counter=True, counter_timeout=world.counter_timeout, max_call_outs=world.max_call_outs,
-            may_cancel=world.may_cancel, max_wait=world.max_wait, cold=world.cold, cold_from=world.cold_from,
+            counter=True, counter_timeout=world.counter_timeout, may_cancel=world.may_cancel,
+            max_wait=world.max_wait, cold=world.cold, cold_from=world.cold_from,
             cross_zone=0.0, must_ask=False)
         self.machines = [Machine(self, number) for number in range(world.hosts)]
         self.machines_by_name = {machine.name: machine for machine in self.machines}
--- a/petrellane/net/driver.py
+++ b/petrellane/net/driver.py
@@ -15,7 +15,8 @@
     def __init__(self, config, scheduler, limits, log):
         self.settings, self.scheduler, self.log, self.now = config.settings, scheduler, log, scheduler.now
         self.limits = limits
-        self.gateway = Gateway(seed=config.seed, **config.settings.gateway)
+        self.gateway = Gateway(seed=config.seed, counter=self.settings.may_count, must_ask=self.settings.must_ask,
+                               **self.settings.gateway)
         self.customers, self.hosts, self.exchanges = WeakValueDictionary(), {}, {}
         self.ids = {}    # id -> exchange, while it is open
         self.tally = Counter()    # what came, went out and was answered since the last figures, by kind
@@ -32,6 +33,11 @@
         self.carry_out(self.gateway.started(self.now()))
         self.listed(known._replace(full=True))
 
+    def renewed(self, settings, limits):
+        """Other settings from now on; what is open keeps the method that it came under."""
+        self.settings, self.limits = settings, limits
+        self.gateway.renewed(**settings.gateway)
+
     def listed(self, told):
         """A host list, changes to it, or None when asking failed."""
         if told is None:
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -1,6 +1,6 @@
 """Every size, count and time of the network code, in one type: filled at start and handed down."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 @dataclass(frozen=True)
@@ -66,6 +66,12 @@
                    streams=told.streams, counter_timeout=told.counter_timeout,
                    unsent=int(min(cls.unsent, config.memory_mb * 2 ** 20 / 64)))
 
+    def renewed(self, config):
+        """The same with what may change while the gateway runs."""
+        told = config.settings
+        return replace(self, dial_timeout=told.dial_timeout, host_idle=told.conn_idle / 2, streams=told.streams,
+                       counter_timeout=told.counter_timeout)
+
     def host_room(self, clients):
         """How many connections to hosts leave room for so many clients."""
         return max(0, self.sockets - self.reserve - clients)
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -142,24 +142,36 @@
         self.scheduler.register(ours.fileno(), select.POLLIN, rung)
 
     def reload(self, load):
-        """Take up what can be taken up of a configuration read anew, the addresses of discovery and the counter;
-        all else is as at the start. One that is wrong changes nothing."""
+        """Take up what can be taken up of a configuration read anew: the settings, and the addresses of discovery and the
+        counter; all else is as at the start. One that is wrong changes nothing."""
         try:
-            config = load()
+            config = load(self.config)
         except ConfigError as error:
             self.log.event("reload_refused", error=str(error))
             return
         counter = config.counter or self.config.counter
         moved = [key for key, before, now in (("discovery", self.config.discovery, config.discovery),
                                               ("counter", self.config.counter, counter)) if before and before != now]
-        self.config = replace(self.config, discovery=config.discovery, counter=counter)
+        before, now = self.config.settings, config.settings
+        self.config = replace(self.config, discovery=config.discovery, counter=counter, settings=now, raw=config.raw)
+        self.limits = self.limits.renewed(config)
+        for part in (self.server, self.upstream, self.management, self.discovery, self.driver.counter):
+            if part:
+                part.limits = self.limits
+        self.driver.renewed(now, self.limits)
         if "counter" in moved:
             self.driver.counter.move(counter)
         if "discovery" in moved:    # the list is asked for whole, whatever version the old address gave
             self.discovery.end()
             self.discovery = self.watch(None)
             self.scheduler.spawn(self.discovery.run)
-        self.log.event("reloaded", moved=moved)
+        self.log.event("reloaded", moved=moved, methods=self.differ(before.methods, now.methods),
+                       plans=self.differ(before.plans, now.plans))
+
+    @staticmethod
+    def differ(before, now):
+        """The names that came, went or stand for something else."""
+        return sorted(name for name in before.keys() | now.keys() if before.get(name) is not now.get(name))
 
     def changed(self):
         """Staff have had the gateway emptied, or taken into service again."""
--- a/tests/operation/cases.py
+++ b/tests/operation/cases.py
@@ -1,17 +1,20 @@
 """The rules of operation, without a socket."""
 
+import copy
 import unittest
 
 import orjson
 from hypothesis import given
 from hypothesis import strategies as some
 
+from petrellane import config
 from petrellane import interface as api
 from petrellane.choice import Gateway
 from petrellane.operation import calls, succession
 from petrellane.operation.states import DRAINED, ENDING, SERVING, Service
+from tests.sockets import TOLD
 
-SETTINGS = dict(zone="z", counter=True, counter_timeout=0.05, max_call_outs=4, may_cancel=True, max_wait=0.5,
+SETTINGS = dict(zone="z", counter=True, counter_timeout=0.05, may_cancel=True, max_wait=0.5,
                 cold=10.0, cold_from=0.25, cross_zone=0.0, must_ask=False)
 
 
@@ -136,3 +139,55 @@
     def test_another_version_is_refused(self):
         self.assertIsNone(succession.answers_to(succession.asks()))
         self.assertEqual(succession.answers_to({"ask": 0}), {"refused": succession.VERSION})
+
+
+class Settings(unittest.TestCase):
+    """New settings, told to the module and read by the one place for configuration."""
+
+    def test_a_lease_goes_on_under_another_plan(self):
+        """Neither its ceiling nor what is out is lost or made anew, and its window is the new plan's."""
+        customer = api.Customer("c", api.Plan("p", rate=5.0, store=10.0, ceiling_rate=2.0, ceiling_burst=8.0))
+        gateway = Gateway(**SETTINGS, seed=1)
+        gateway.started(100.0)
+        lease = gateway.leases.of(customer, 101.0)
+        before, lease.out, lease.held = lease.fill_ceiling(101.0), 3, 4.0
+        customer.plan = api.Plan("p", rate=1.0, store=10.0, ceiling_rate=1.0, ceiling_burst=8.0)
+        self.assertIs(gateway.leases.of(customer, 101.0), lease)
+        self.assertEqual((lease.out, lease.fill_ceiling(101.0), lease.allowance, lease.held), (3, before, 10.0, 0.0))
+        customer.plan = api.Plan("p", rate=1.0, store=10.0, ceiling_rate=1.0, ceiling_burst=1.0)
+        self.assertEqual(gateway.leases.of(customer, 101.0).fill_ceiling(101.0), 1.0)
+
+    def test_what_is_known_of_a_method_outlives_its_change_and_not_its_end(self):
+        before = config.settings(config.Section(TOLD["settings"], "settings"))
+        told = copy.deepcopy(TOLD["settings"])
+        told["classes"][0]["effect"] = "side_effect"
+        del told["classes"][1]
+        now = config.renewed(before, config.settings(config.Section(told, "settings")))
+        gateway = Gateway(seed=1, counter=True, must_ask=False, **before.gateway)
+        host, customer = api.Host("h"), api.Customer("c", before.plans["basic"])
+        gateway.started(0.0)
+        gateway.listed(0.0, True, [api.Listing(host, "", "", 0, api.READY, 1.0, 0.0)])
+        for name in ("look", "lodge"):
+            call_out = api.CallOut(api.Rpc(before.methods[name], customer, 1.0, 9.0, 1.0), host, 0, 1.0, 8.0)
+            gateway.again(1.1, call_out, api.OK, over=True, took=0.07)
+        gateway.renewed(**now.gateway)
+        look = now.methods["look"]
+        self.assertIsNot(look, before.methods["look"])
+        self.assertIs(now.methods["post"], before.methods["post"])
+        self.assertIs(now.plans["basic"], before.plans["basic"])
+        self.assertAlmostEqual(gateway.fleet.typical(look), 0.07)
+        self.assertNotIn(before.methods["lodge"].root, gateway.fleet.tooks)
+
+    def test_a_file_that_lacks_what_the_one_in_force_has(self):
+        before = config.read(copy.deepcopy(TOLD))
+        for path in (["name"], ["settings", "limits"], ["settings", "limits", "maxAttempts"], ["limits", "sockets"]):
+            told = copy.deepcopy(TOLD)
+            place = told
+            for step in path[:-1]:
+                place = place[step]
+            del place[path[-1]]
+            with self.assertRaisesRegex(config.ConfigError, "^" + ".".join(path) + ": missing"):
+                config.read(told, None, before)
+        told = copy.deepcopy(TOLD)
+        del told["known"]    # the last host list is no setting
+        config.read(told, None, before)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -11,11 +11,11 @@
 from petrellane import interface as api
 from petrellane.choice import Gateway
 from tests.model.cases import BadScenario, Judged, Model
-from tests.operation.cases import Calls, States, Succession
+from tests.operation.cases import Calls, Settings, States, Succession
 from tests.operation.upgrades import Upgrades
 from tests.sockets import Net
 
-SETTINGS = dict(zone="z1", counter=True, counter_timeout=0.05, max_call_outs=4, may_cancel=True, max_wait=0.5,
+SETTINGS = dict(zone="z1", counter=True, counter_timeout=0.05, may_cancel=True, max_wait=0.5,
                 cold=10.0, cold_from=0.25, cross_zone=0.0, must_ask=False)
 PLAN_NAMES = dict(burst="store", ceiling="ceiling_rate", top="ceiling_burst", slack="ceiling_slack", out="max_out",
                   cost="over_cost", over="over_utility")
@@ -269,7 +269,7 @@
 def main():
     """Run all scenarios and close with the plain line that counts them."""
     load = unittest.defaultTestLoader.loadTestsFromTestCase
-    cases = [Scenarios, Sockets, States, Calls, Succession, Upgrades, Model, BadScenario, Judged]
+    cases = [Scenarios, Sockets, States, Calls, Succession, Settings, Upgrades, Model, BadScenario, Judged]
     result = unittest.TextTestRunner(verbosity=1).run(unittest.TestSuite(map(load, cases)))
     failed = len(result.failures) + len(result.errors)
     print(f"{result.testsRun - failed} passed, {failed} failed")
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -273,7 +273,13 @@
     def do_raw(self, name, *text):
         self.clients[name].sock.send(unescape(" ".join(text)))
 
-    def do_send(self, name, rpc, method, *words):
+    def do_query(self, name, rpc, method, *words):
+        self.do_send(name, rpc, method, *words, verb=b"SVC.QUERY")
+
+    def do_submit(self, name, rpc, method, *words):
+        self.do_send(name, rpc, method, *words, verb=b"SVC.SUBMIT")
+
+    def do_send(self, name, rpc, method, *words, verb=None):
         """One RPC; `split` sends it byte by byte, `body` gives it a body of so many bytes."""
         given = dict(word.partition("=")[::2] for word in words)
         split, body, who = "split" in given, int(given.pop("body", 0)), int(given.pop("who", 1))
@@ -281,7 +287,7 @@
         fields = f"c={method},t=basic,d={given.pop('d', 2000)}"
         given.pop("split", None)
         fields += "".join(f",{key}={value}" for key, value in {"units": 1, "spread": 1, "first": 0, **given}.items())
-        parts = [b"SVC.QUERY" if method == "look" else b"SVC.SUBMIT", b"%016x" % who, rpc.encode(),
+        parts = [verb or (b"SVC.QUERY" if method == "look" else b"SVC.SUBMIT"), b"%016x" % who, rpc.encode(),
                  fields.encode()] + [b"x" * body] * bool(body)
         self.sent[rpc] = parts
         data, client = resp.words(*parts), self.clients[name]
@@ -498,12 +504,20 @@
             if int(low) <= count <= int(high)])
         assert number
 
+    def lines(self, event):
+        self.node.log.flush()
+        self.log.seek(0)
+        return [line.decode() for line in io.BytesIO(self.log.read()) if json.loads(line)["event"] == event]
+
     def do_logged(self, event):
-        def found():
-            self.node.log.flush()
-            self.log.seek(0)
-            return [line for line in io.BytesIO(self.log.read()) if json.loads(line)["event"] == event]
-        self.until(f"a line {event}", found)
+        self.until(f"a line {event}", lambda: self.lines(event))
+
+    def do_refusals(self, number, *texts):
+        """So many configurations were refused, one line each, and these texts are among them."""
+        lines = self.lines("reload_refused")
+        assert len(lines) == int(number), lines
+        for text in texts:
+            assert any(unescape(text).decode() in line for line in lines), (text, lines)
 
     def do_moves(self, *names):
         """The configuration names new addresses of these; the old ones take no new connection. Then SIGHUP."""
@@ -513,7 +527,7 @@
                 peer.at += "-old"
             self.watch = None if name == "discovery" else self.watch
             self.told[name] = self.listen(name)
-        self.node.reload(lambda: config.read(self.told, {"PROXY_DISCOVERY": "127.0.0.1:1"}, again=True))
+        self.node.reload(lambda before: config.read(self.told, {"PROXY_DISCOVERY": "127.0.0.1:1"}, before))
 
     def do_breaks_counter(self):
         for peer in [peer for peer in self.peers if peer.at == "counter-old"]:
@@ -552,7 +566,12 @@
 
     def do_spoils(self, word):
         """A configuration that is wrong, then SIGHUP."""
-        self.node.reload(lambda: config.read(changed(self.told, [word])))
+        self.node.reload(lambda before: config.read(changed(self.told, [word]), None, before))
+
+    def do_settings(self, *words):
+        """SIGHUP with these keys changed, and the file left so."""
+        self.told = changed(self.told, words)
+        self.node.reload(lambda before: config.read(self.told, None, before))
 
     def do_hup(self):
         """A whole process: SIGHUP, also with a file that is wrong, then SIGTERM at once."""
