--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -38,7 +38,8 @@
         self.service = Service(self.limits.change_over, self.limits.last_command)
         self.server = Server(self.scheduler, self.limits, self.log, self.service, self.driver.place, self.driver.left,
                              lambda more: self.upstream.make_room(more), account)
-        self.management = Management(self.scheduler, self.limits, self.service, self.changed)
+        self.management = Management(self.scheduler, self.limits, self.service, self.changed,
+                                     lambda trouble: self.server.make_way(trouble))
         self.upstream = self.driver.upstream = Upstream(
             self.scheduler, self.limits, account, lambda: len(self.server.clients), self.driver.begun, self.driver.ended)
         if config.counter:
--- a/petrellane/operation/management.py
+++ b/petrellane/operation/management.py
@@ -4,6 +4,7 @@
 in number (the oldest half-way one makes room) and in time.
 """
 
+import errno
 import select
 import socket
 
@@ -12,10 +13,12 @@
 
 
 class Management:
-    """Listens for callers; `changed` is told after each call that was carried out."""
+    """Listens for callers; `changed` is told after each call that was carried out, `make_way` of a caller for whom no
+    descriptor was left."""
 
-    def __init__(self, scheduler, limits, service, changed):
-        self.scheduler, self.limits, self.service, self.changed = scheduler, limits, service, changed
+    def __init__(self, scheduler, limits, service, changed, make_way):
+        self.scheduler, self.limits, self.service = scheduler, limits, service
+        self.changed, self.make_way = changed, make_way
         self.callers, self.listener = {}, None
 
     def listen(self, address):
@@ -39,7 +42,11 @@
         for _ in range(self.limits.accepts):
             try:
                 sock, _ = self.listener.accept()
-            except OSError:
+            except BlockingIOError:
+                return
+            except OSError as trouble:
+                if trouble.errno in (errno.EMFILE, errno.ENFILE):
+                    self.make_way(trouble)
                 return
             if len(self.callers) >= self.limits.callers:
                 next(iter(self.callers)).close()
--- a/tests/operation/upgrades.py
+++ b/tests/operation/upgrades.py
@@ -1,5 +1,6 @@
 """One process of a gateway follows another: whole processes, and a listening socket that the test holds."""
 
+import copy
 import os
 import signal
 import socket
@@ -9,7 +10,7 @@
 
 import orjson
 
-from tests.operation.world import PATIENCE, World, answer
+from tests.operation.world import BIG, PATIENCE, World, answer
 
 
 class Upgrades(unittest.TestCase):
@@ -51,6 +52,43 @@
             self.ask(client, b"last")
         self.assertEqual(world.ran.count("held"), 1)
 
+    def test_a_long_value_half_out(self):
+        """Its connection stays with the old process until it is whole, and goes over after that."""
+        world, client = self.world, self.world.client()
+        world.gates["big"] = threading.Event()
+        world.send(client, b"big", left=900)
+        got = bytearray(client.recv(1 << 16))
+        new = world.start()
+        world.ready(new)
+        self.old.send_signal(signal.SIGTERM)
+        time.sleep(1.0)    # past the RPC's deadline: what has begun to come is not cut off
+        self.assertIsNone(self.old.poll())
+        world.gates["big"].set()
+        head = b"$%d\r\n" % BIG
+        while len(got) < len(head) + BIG + 2:
+            self.assertTrue(data := client.recv(1 << 20))
+            got += data
+        self.assertTrue(got.startswith(head) and got.endswith(b"x\r\n"))
+        self.ask(client, b"after")
+        self.assertEqual(self.old.wait(PATIENCE), 0)
+
+    def test_the_file_is_replaced_twice_within_a_moment(self):
+        """The last one is in force, whatever the signals fall together to."""
+        for _ in range(3):
+            for name in ("first", "second"):
+                told = copy.deepcopy(self.world.told)
+                told["settings"]["classes"][0]["name"] = name
+                self.world.write(told)
+                self.old.send_signal(signal.SIGHUP)
+            time.sleep(0.3)
+            client = self.world.client()
+            self.ask(client, b"one", method=b"first", verb=b"SVC.QUERY", wanted=b"-ERR c: no such method")
+            self.ask(client, b"two", method=b"second", verb=b"SVC.QUERY")
+            told["settings"]["classes"][0]["name"] = "look"
+            self.world.write(told)
+            self.old.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+
     def test_twice_in_a_row(self):
         client, processes = self.world.client(), [self.old]
         for number in range(3):
--- a/tests/operation/world.py
+++ b/tests/operation/world.py
@@ -17,6 +17,7 @@
 from tests.sockets import TOLD, changed
 
 LIMITS = Limits(256, 1.0, 1.0, 1, 1.0)
+BIG = 300_000
 PATIENCE = 20.0    # seconds after which what is expected counts as never coming
 
 
@@ -88,10 +89,16 @@
         return "%s:%d" % listener.getsockname()
 
     def host(self, sock):
-        """Answers each RPC with its id, once the gate of that id is open, where it has one."""
+        """Answers each RPC with its id, once the gate of that id is open, where it has one; `big` with a long value, of
+        which half comes before its gate is open."""
         for parts in commands(sock):
             self.ran.append(parts[2].decode())
             gate = self.gates.get(parts[2].decode())
+            if parts[2] == b"big":
+                sock.sendall(b"*3\r\n$%d\r\n" % BIG + b"x" * (BIG // 2))
+                gate.wait(PATIENCE)
+                sock.sendall(b"x" * (BIG - BIG // 2) + b"\r\n$-1\r\n$-1\r\n")
+                continue
             if gate:
                 gate.wait(PATIENCE)
             sock.sendall(b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(parts[2]), parts[2]))
@@ -161,7 +168,7 @@
         return sock
 
     @staticmethod
-    def send(client, rpc, method=b"look", who=1, left=3000, more=b""):
-        verb = b"SVC.QUERY" if method == b"look" else b"SVC.SUBMIT"
+    def send(client, rpc, method=b"look", who=1, left=3000, more=b"", verb=None):
+        verb = verb or (b"SVC.QUERY" if method == b"look" else b"SVC.SUBMIT")
         client.sendall(resp.words(verb, b"%016x" % who, rpc, b"c=%b,t=basic,d=%d,units=1,spread=1,first=0%b" % (
             method, left, more)))
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -249,6 +249,25 @@
         self.until("all answers", lambda: self.clients[name].buffer.count(b"+OK") == 200)
         self.clients[name].buffer.clear()
 
+    def do_starve_call(self, status):
+        """Staff call while there is no descriptor left: idle connections make way, and the call is answered."""
+        management = self.node.management
+        listener = management.listener
+
+        class Starved:
+            fileno, close, getsockname, times = listener.fileno, listener.close, listener.getsockname, 0
+
+            def accept(self):
+                self.times += 1
+                if self.times == 1:
+                    raise OSError(errno.EMFILE, "no descriptor")
+                return listener.accept()
+        management.listener = starved = Starved()
+        before = len(self.node.server.clients)
+        self.do_call("GET", "/-/ready", status)
+        assert starved.times > 1 and len(self.node.server.clients) < before, (starved.times, before)
+        management.listener = listener
+
     def do_starve(self, name):
         """A client comes while there is no descriptor left, and is served once there is."""
         listener = self.node.server.listener
@@ -450,6 +469,11 @@
         self.until(f"{number} bytes at {name}", lambda: len(client.buffer) >= int(number))
         assert not client.ended
 
+    def do_open_half(self, name):
+        """The client is still connected, in the midst of an answer."""
+        self.turn()
+        assert not self.clients[name].ended
+
     def do_reads_long(self, name, number):
         client, wanted = self.clients[name], b"$%d\r\n" % int(number) + b"x" * int(number) + b"\r\n"
         self.until(f"{number} bytes at {name}", lambda: len(client.buffer) >= len(wanted))
