Long values that stand still end their client alone; bodies take turns; who is followed isn't ready

Account.keep put a body that grew at the end of the order, so that several without room took turns and all grew (room of the first: False). A process whose clients go to another said yes to /-/ready. Change: Passage.expire, which ends the client's side and passes over what still comes; a body keeps its place; Service knows that it is followed. One function makes both listening sockets.

--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -106,6 +106,7 @@
 
     def hand(self, heir):
         """Another process follows; None: it is gone again."""
+        self.service.followed = bool(heir)
         self.server.hand(heir)
         if not heir:
             succession.resumed(self.driver.gateway, self.scheduler.now())
--- a/petrellane/net/passage.py
+++ b/petrellane/net/passage.py
@@ -22,9 +22,11 @@
 
     def keep(self, whose, size):
         """So many bytes of a body are kept now; 0 when it is over."""
-        self.kept += size - self.bodies.pop(whose, 0)
+        self.kept += size - self.bodies.get(whose, 0)
         if size:
-            self.bodies[whose] = size
+            self.bodies[whose] = size    # in its old place: the first one stays the first
+        else:
+            self.bodies.pop(whose, None)
 
     def room(self, whose):
         """Whether more of a body may be read: while there is room, and always for the one that came first, so that
@@ -70,6 +72,17 @@
             self.pieces += [b"\r\n"] * self.whole
             self.flush()
 
+    def expire(self):
+        """Nothing has moved for too long, whoever is to blame: the client's connection ends, and what the host still
+        gives is passed over."""
+        self.fail()
+        self.sink, self.waiting = True, 0
+        self.pieces.clear()
+        if self.held:
+            self.held = False
+            self.hold(False)
+        self.gone()
+
     # The client's side.
 
     def take(self, stream):
--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -11,7 +11,7 @@
 
 from petrellane.net import resp
 from petrellane.net.exchange import BadField, Exchange, Reply
-from petrellane.net.stream import Closed, Stream
+from petrellane.net.stream import Closed, Stream, listening
 from petrellane.operation.states import ENDING
 
 QUERY = b"SVC.QUERY"
@@ -38,12 +38,7 @@
 
     def listen(self, address):
         """Hold the address; callers are heard from `attend` on."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind(address)
-        sock.listen(self.limits.backlog)
-        self.listener = sock
+        self.listener = listening(address, self.limits.backlog)
 
     def inherit(self, descriptor):
         """The same with a listening socket that others hold as well, and that outlives us."""
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -11,6 +11,20 @@
 WRITE = select.POLLOUT
 
 
+def listening(address, backlog):
+    """A socket that listens at an address and never waits; raises OSError where that can't be."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Closed(Exception):
     """The peer has ended the connection, or it broke."""
 
--- a/petrellane/net/upstream.py
+++ b/petrellane/net/upstream.py
@@ -4,7 +4,6 @@
 or broke before the last byte was written, and may have run when that happened later.
 """
 
-import itertools
 import socket
 from collections import Counter, deque
 from functools import partial
@@ -113,9 +112,9 @@
         self.passage.push(data)
 
     def unwanted(self):
-        """Nobody takes the long value: its connection ends, unless others wait on it."""
-        if self.out and all(other.given_up for other in itertools.islice(self.out, 1, None)):
-            self.out[0].given_up = self.out[0].given_up or api.CANCELLED
+        """Nobody takes the long value: its connection ends, at once or when those behind it are given up as well."""
+        self.out[0].given_up = self.out[0].given_up or api.CANCELLED
+        if all(other.given_up for other in self.out):
             self.pool.upstream.scheduler.soon(self.end)
 
     def clean(self):
@@ -338,7 +337,7 @@
         still = self.scheduler.now() - self.limits.standstill
         for passage in [passage for passage in self.account.passages if passage.moved < still]:
             self.tally["stood still"] += 1
-            passage.gone()
+            passage.expire()
         for pool in list(self.pools.values()):
             pool.retire(before)
             if len(pool.queue) > pool.dials:
--- a/petrellane/operation/management.py
+++ b/petrellane/operation/management.py
@@ -6,9 +6,8 @@
 
 import errno
 import select
-import socket
 
-from petrellane.net.stream import Closed, Stream
+from petrellane.net.stream import Closed, Stream, listening
 from petrellane.operation import calls
 
 
@@ -23,13 +22,8 @@
 
     def listen(self, address):
         """Listen at an address; raises OSError where that can't be."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind(address)
-        sock.listen(self.limits.backlog)
-        self.listener = sock
-        self.scheduler.register(sock.fileno(), select.POLLIN, self.accept, urgent=True)
+        self.listener = listening(address, self.limits.backlog)
+        self.scheduler.register(self.listener.fileno(), select.POLLIN, self.accept, urgent=True)
 
     def end(self):
         """Listen no longer."""
@@ -59,7 +53,7 @@
         until = self.scheduler.now() + self.limits.call
         try:
             status = self.heard(stream, until)
-            stream.write(calls.answer(status, self.service.state))
+            stream.write(calls.answer(status, self.service.told))
             self.callers.pop(stream, None)    # it is no longer half way
             stream.finish()
             until = self.scheduler.now() + self.limits.linger
--- a/petrellane/operation/states.py
+++ b/petrellane/operation/states.py
@@ -19,6 +19,12 @@
     def __init__(self, change_over, last_command):
         self.change_over, self.last_command = change_over, last_command
         self.state, self.since = STARTING, 0.0
+        self.followed = False    # another process takes the clients, and gets those that are here
+
+    @property
+    def told(self):
+        """The state as staff are told it."""
+        return "followed" if self.followed and self.state == SERVING else self.state
 
     def begin(self):
         """It takes clients from now on, unless it was told something else before."""
@@ -28,7 +34,7 @@
     @property
     def ready(self):
         """Whether it takes clients and will go on to."""
-        return self.state == SERVING
+        return self.state == SERVING and not self.followed
 
     @property
     def welcomes(self):
@@ -42,10 +48,10 @@
         return True
 
     def resume(self):
-        """Take clients again; False when it is ending, or does not take any yet."""
+        """Take clients again; False when it is ending, does not take any yet, or another process does."""
         if self.state in (DRAINING, DRAINED):
             self.state = SERVING
-        return self.state == SERVING
+        return self.ready
 
     def end(self, now):
         """Let clients go for good; a drain that is on has had its change-over, or goes on with it."""
--- a/tests/operation/cases.py
+++ b/tests/operation/cases.py
@@ -10,6 +10,8 @@
 from petrellane import config
 from petrellane import interface as api
 from petrellane.choice import Gateway
+from petrellane.net.limits import Limits
+from petrellane.net.passage import Account
 from petrellane.operation import calls, succession
 from petrellane.operation.states import DRAINED, ENDING, SERVING, Service
 from tests.sockets import TOLD
@@ -205,3 +207,27 @@
         told = copy.deepcopy(TOLD)
         del told["known"]    # the last host list is no setting
         config.read(told, None, before)
+
+
+class Waiting(unittest.TestCase):
+    """The account of bytes that wait."""
+
+    def test_bodies_beyond_the_room_come_one_after_the_other(self):
+        """The first body goes on when there is no room, and stays the first however often it grows."""
+        account = Account(Limits(256, 1.0, 1.0, 1, 1.0, waiting=1000))
+        for size in (300, 600):
+            account.keep("first", size)
+            account.keep("second", size)
+        self.assertEqual((account.room("first"), account.room("second"), account.room("third")), (True, False, False))
+        account.keep("first", 900)
+        self.assertEqual((account.room("first"), account.room("second")), (True, False))
+        account.keep("first", 0)
+        self.assertEqual((account.room("second"), account.room("third"), account.kept), (True, True, 600))
+        account.keep("second", 0)
+        self.assertEqual((account.kept, account.bodies), (0, {}))
+
+    def test_windows_share_what_there_is(self):
+        account = Account(Limits(256, 1.0, 1.0, 1, 1.0, waiting=1 << 20, window=1 << 18, window_least=1 << 14))
+        for number in range(1, 101):
+            account.passages.add(number)
+            self.assertEqual(account.window(), max(1 << 14, min(1 << 18, (1 << 20) // number)))
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -450,9 +450,15 @@
             except BlockingIOError:
                 pass
             self.turn(0)
+        self.given = given
         stalled, = self.node.upstream.account.passages
         assert stalled.stream.sent < int(most), stalled.stream.sent
 
+    def do_drains(self, rpc):
+        """Its host gives all that is left of four million bytes, and ends the answer."""
+        self.do_gives(rpc, 4000000 - self.given)
+        self.do_ends(rpc, "$-1", "$-1")
+
     def do_waits_within(self, number):
         """Of all long values, at most so many bytes wait here."""
         waits = sum(passage.waiting + (passage.stream.queued - passage.stream.sent if passage.stream else 0)
