--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -291,6 +291,7 @@
         """Read what follows a frame of no form, for a while: a reset would take our answers with it."""
         until = math.inf
         try:
+            self.server.account.keep(self, 0)
             while (now := self.server.scheduler.now()) < until:
                 if not self.owed and until == math.inf:
                     until = now + self.server.limits.linger
