An old process that gives nothing: the new one waits longer, and its ceilings wait for the old one's end

Seen by reading the hand-over against its hard case "stopped for a second": the new process gave up waiting after one second (Limits.hand_over), and then both held shares of every ceiling that filled side by side. Change: it waits three seconds, well within the six in which its yes is due; where nothing was given all the same, shares of ceilings stay empty until the old process is surely gone (succession.BESIDE, from the times of the replacement).

--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -49,7 +49,7 @@
     change_over: float = 0.5          # after SIGTERM or at a drain, clients are served as before for so long
     last_command: float = 1.8         # after a drain began, connections take commands for so long
     drain_idle: float = 0.25          # a connection that has only pinged is idle after this while it drains
-    hand_over: float = 1.0            # the process before has given what it has by then
+    hand_over: float = 3.0            # the process before has given what it has by then
     take_back: float = 0.5            # a connection that the next process has not got by then stays here
     passed: int = 32 * 1024           # bytes of a command that go with a connection to the next process
     packet: int = 256 * 1024          # one message between two processes
--- a/petrellane/net/node.py
+++ b/petrellane/net/node.py
@@ -50,7 +50,7 @@
         if config.listen_fd is not None:
             self.handover = self.driver.handover = Handover(self.scheduler, self.limits, self.log, config.name,
                                                             self.give, self.hand, self.driver.taken, self.server.adopt,
-                                                            self.driver.settled)
+                                                            self.driver.settled, self.beside)
 
     def watch(self, index):
         return Discovery(self.scheduler, self.limits, self.log, self.config.discovery, index, self.listed,
@@ -104,6 +104,10 @@
             pool.retire(math.inf)
         return succession.given(self.driver.gateway, self.scheduler.now())
 
+    def beside(self):
+        """The process before gave nothing, and may go on."""
+        succession.beside(self.driver.gateway, self.scheduler.now())
+
     def hand(self, heir):
         """Another process follows; None: it is gone again."""
         self.service.followed = bool(heir)
--- a/petrellane/operation/handover.py
+++ b/petrellane/operation/handover.py
@@ -82,11 +82,12 @@
 class Handover:
     """Both ends. `give` gives the messages that tell the state; `heir` is told of the link that connections go to, and
     of None when it is no more; `taken` gets rows of leases, `adopt` a connection with what was read from it, `settled` a
-    customer and how many of its RPCs that were out at the old process have ended."""
+    customer and how many of its RPCs that were out at the old process have ended; `beside` that
+    the old one goes on with all that it has."""
 
-    def __init__(self, scheduler, limits, log, name, give, heir, taken, adopt, settled):
+    def __init__(self, scheduler, limits, log, name, give, heir, taken, adopt, settled, beside):
         self.scheduler, self.limits, self.log = scheduler, limits, log
-        self.give, self.heir, self.taken, self.adopt, self.settled = give, heir, taken, adopt, settled
+        self.give, self.heir, self.taken, self.adopt, self.settled, self.beside = give, heir, taken, adopt, settled, beside
         self.folder, self.name = None, file_name(name)
         self.listener, self.successor, self.giver, self.links = None, None, None, {}
         self.link, self.taker, self.begin = None, None, None
@@ -148,6 +149,8 @@
         begin, self.begin = self.begin, None
         if begin:
             self.log.event("succeeds", how=how, **figures)
+            if how == "not answered":
+                self.beside()
             begin()
             self.offer()
 
--- a/petrellane/operation/succession.py
+++ b/petrellane/operation/succession.py
@@ -11,6 +11,7 @@
 
 VERSION = 1
 CHUNK = 100    # leases in one message
+BESIDE = 10.0  # seconds after which a process that was followed is gone: told to end within 6, killed 3.7 later
 
 
 def asks():
@@ -56,6 +57,11 @@
     lease.out = max(0, lease.out - number)
 
 
+def beside(gateway, now):
+    """A process before may still hold its shares, as it gave none: ours of ceilings stay empty until it is surely gone."""
+    gateway.leases.born = now + BESIDE
+
+
 def resumed(gateway, now):
     """What was given is gone: shares of ceilings grow again, from nothing."""
     for lease in gateway.leases.leases.values():
--- a/tests/operation/cases.py
+++ b/tests/operation/cases.py
@@ -151,6 +151,14 @@
         for _ in range(2):
             new.place(110.0, api.Rpc(api.Method("m", 1.0, 2.0), customer, 3.0, 112.0, 110.0))
 
+    def test_an_old_process_that_gives_nothing(self):
+        """Its shares may still fill: a customer's ceiling fills in one process at a time."""
+        gateway, _ = self.lease(api.Plan("q"))
+        succession.beside(gateway, 110.0)
+        plan = api.Plan("p", rate=5.0, store=10.0, ceiling_rate=2.0, ceiling_burst=8.0)
+        lease = gateway.leases.of(api.Customer("d", plan), 111.0)
+        self.assertEqual([lease.fill_ceiling(at) for at in (112.0, 119.9, 121.0)], [0.0, 0.0, 2.0])
+
     def test_another_version_is_refused(self):
         self.assertIsNone(succession.answers_to(succession.asks()))
         self.assertEqual(succession.answers_to({"ask": 0}), {"refused": succession.VERSION})
--- a/tests/operation/upgrades.py
+++ b/tests/operation/upgrades.py
@@ -175,15 +175,31 @@
         """The new one does not wait for it without end; once it runs again, both serve and nothing is lost."""
         client = self.world.client()
         self.ask(client, b"one")
+        self.ask(client, b"more")    # one that comes back is not let go of meanwhile
         self.old.send_signal(signal.SIGSTOP)
         new = self.world.start()
         self.assertLess(self.world.ready(new), 5.0)
         self.ask(self.world.client(), b"two")
         self.old.send_signal(signal.SIGCONT)
+        time.sleep(0.5)    # what comes while it wakes may be pushed back, as its patience may be over
         self.ask(client, b"three")
         self.old.send_signal(signal.SIGTERM)
         self.assertEqual(self.old.wait(PATIENCE), 0)
 
+    def test_the_old_process_stands_still_for_a_second(self):
+        """It gives all the same, and its connections go over."""
+        client = self.world.client()
+        self.ask(client, b"one")
+        self.old.send_signal(signal.SIGSTOP)
+        new = self.world.start()
+        time.sleep(1.3)
+        self.old.send_signal(signal.SIGCONT)
+        self.world.ready(new)
+        self.assertEqual(self.world.call(self.old, "GET", "/-/ready"), 503)    # it is followed
+        self.old.send_signal(signal.SIGTERM)
+        self.assertEqual(self.old.wait(PATIENCE), 0)
+        self.ask(client, b"two")
+
     def test_one_of_another_version_is_refused(self):
         """And whoever says what means nothing ends its own link only."""
         for said, answered in ((orjson.dumps({"ask": 99}) + b"\n", b'{"refused":1}\n'), (b"nonsense", b""),
