--- a/petrellane/net/server.py
+++ b/petrellane/net/server.py
@@ -1,6 +1,5 @@
 """The client side: accepts connections, reads commands, writes the answers in the order of the commands."""
 
-import errno
 import itertools
 import math
 import select
@@ -11,7 +10,7 @@
 
 from petrellane.net import resp
 from petrellane.net.exchange import BadField, Exchange, Reply
-from petrellane.net.stream import Closed, Stream, listening
+from petrellane.net.stream import Closed, Stream, accepted, listening
 from petrellane.operation.states import ENDING
 
 QUERY = b"SVC.QUERY"
@@ -51,15 +50,7 @@
             self.scheduler.register(self.listener.fileno(), select.POLLIN, self.accept)
 
     def accept(self, events=0):
-        for _ in range(self.limits.accepts):
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as trouble:
-                if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self.make_way(trouble)
-                return
+        for sock in accepted(self.listener, self.limits.accepts, self.make_way):
             client = Client(self, Stream(self.scheduler, self.limits, sock))
             self.clients[client] = self.silent[client] = None
             self.scheduler.spawn(client.run)
@@ -355,7 +346,8 @@
                 if not passage.whole:
                     break
                 self.stream.relief = None
-            self.server.account.keep(reply, 0)
+            if self.server.account.bodies:
+                self.server.account.keep(reply, 0)
             self.owed.popleft()
         if pieces:
             self.since = self.server.scheduler.now()
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -1,5 +1,6 @@
 """A non-blocking socket with a buffer for what came and one for what could not be written yet."""
 
+import errno
 import itertools
 import select
 import socket
@@ -25,6 +26,20 @@
     return sock
 
 
+def accepted(listener, most, make_way):
+    """The connections that wait at a listening socket, at most so many; `make_way` is told where none can be taken as
+    no descriptor is left."""
+    for _ in range(most):
+        try:
+            yield listener.accept()[0]
+        except BlockingIOError:
+            return
+        except OSError as trouble:
+            if trouble.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                make_way(trouble)
+            return
+
+
 class Closed(Exception):
     """The peer has ended the connection, or it broke."""
 
--- a/petrellane/operation/handover.py
+++ b/petrellane/operation/handover.py
@@ -8,7 +8,6 @@
 import os
 import select
 import socket
-import tempfile
 from collections import deque
 from functools import partial
 
@@ -96,7 +95,7 @@
         """Where the socket is. Paths of sockets are short, those of folders are not: it is named from the folder's
         descriptor. Raises OSError where there is no such folder."""
         if self.folder is None:
-            self.folder = os.open(tempfile.gettempdir(), os.O_RDONLY | os.O_DIRECTORY)
+            self.folder = os.open(os.environ.get("TMPDIR") or "/tmp", os.O_RDONLY | os.O_DIRECTORY)
         return f"/proc/self/fd/{self.folder}/{self.name}"
 
     # The new process's end.
@@ -170,7 +169,7 @@
             self.listener.listen(4)
             os.rename(path, self.path())
         except OSError as trouble:    # nobody can follow without a loss; all else goes on
-            self.log.event("no_hand_over", folder=tempfile.gettempdir(), error=str(trouble))
+            self.log.event("no_hand_over", folder=os.environ.get("TMPDIR") or "/tmp", error=str(trouble))
             self.listener.close()
             self.listener = None
             return
@@ -238,6 +237,9 @@
 
     def close(self):
         """Be found no more."""
+        if self.folder is not None:
+            os.close(self.folder)
+            self.folder = None
         if self.listener:
             self.scheduler.unregister(self.listener.fileno())
             self.listener.close()
--- a/petrellane/operation/management.py
+++ b/petrellane/operation/management.py
@@ -4,10 +4,9 @@
 in number (the oldest half-way one makes room) and in time.
 """
 
-import errno
 import select
 
-from petrellane.net.stream import Closed, Stream, listening
+from petrellane.net.stream import Closed, Stream, accepted, listening
 from petrellane.operation import calls
 
 
@@ -33,15 +32,7 @@
             self.listener = None
 
     def accept(self, events=0):
-        for _ in range(self.limits.accepts):
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as trouble:
-                if trouble.errno in (errno.EMFILE, errno.ENFILE):
-                    self.make_way(trouble)
-                return
+        for sock in accepted(self.listener, self.limits.accepts, self.make_way):
             if len(self.callers) >= self.limits.callers:
                 next(iter(self.callers)).close()
             stream = Stream(self.scheduler, self.limits, sock, urgent=True)
