The daemon's parts move from net/ to gateway/; nothing else changes

Need: the rig and the agreement stand on the primitives (scheduler, stream, limits, log, codecs) alone, and net/ held these and the daemon together. operation's carriers imported net, whose node imported operation: one arrow ran back up.

--- a/petrellane/cli.py
+++ b/petrellane/cli.py
@@ -34,7 +34,7 @@
 def serve():
     """Serve until SIGTERM; PROXY_CONFIG names the configuration file, which SIGHUP has read anew."""
     from petrellane.config import load
-    from petrellane.net.node import Node
+    from petrellane.gateway.node import Node
     node = Node(configuration())
     node.obey({signal.SIGTERM: node.end, signal.SIGINT: node.end,
                signal.SIGHUP: lambda: node.reload(partial(load, os.environ))})
--- a/petrellane/net/driver.py
+++ b/petrellane/gateway/driver.py
@@ -5,7 +5,7 @@
 
 from petrellane import interface as api
 from petrellane.choice import Gateway
-from petrellane.net.exchange import BadField
+from petrellane.gateway.exchange import BadField
 from petrellane.operation import succession
 
 
--- a/petrellane/net/node.py
+++ b/petrellane/gateway/node.py
@@ -10,15 +10,15 @@
 from dataclasses import replace
 
 from petrellane.config import ConfigError
-from petrellane.net.counter import Counter
-from petrellane.net.discovery import Discovery
-from petrellane.net.driver import Driver
+from petrellane.gateway.counter import Counter
+from petrellane.gateway.discovery import Discovery
+from petrellane.gateway.driver import Driver
+from petrellane.gateway.passage import Account
+from petrellane.gateway.server import Server
+from petrellane.gateway.upstream import Upstream
 from petrellane.net.limits import Limits
 from petrellane.net.log import Logger
-from petrellane.net.passage import Account
 from petrellane.net.scheduler import Scheduler
-from petrellane.net.server import Server
-from petrellane.net.upstream import Upstream
 from petrellane.operation import succession
 from petrellane.operation.handover import Handover
 from petrellane.operation.management import Management
--- a/petrellane/net/server.py
+++ b/petrellane/gateway/server.py
@@ -8,8 +8,8 @@
 
 import greenlet
 
+from petrellane.gateway.exchange import BadField, Exchange, Reply
 from petrellane.net import resp
-from petrellane.net.exchange import BadField, Exchange, Reply
 from petrellane.net.stream import Closed, Stream, accepted, listening
 from petrellane.operation.states import ENDING
 
--- a/petrellane/net/upstream.py
+++ b/petrellane/gateway/upstream.py
@@ -9,8 +9,8 @@
 from functools import partial
 
 from petrellane import interface as api
+from petrellane.gateway.passage import Passage
 from petrellane.net import resp
-from petrellane.net.passage import Passage
 from petrellane.net.stream import Closed, Stream
 
 
--- a/petrellane/net/__init__.py
+++ b/petrellane/net/__init__.py
@@ -1,4 +1,1 @@
-"""The gateway on real sockets: clients, hosts, counter and discovery round the decisions.
-
-Embed it with `Node(config).run()`, or hand a scheduler of your own to Node; petrellane.cli is one user of it.
-"""
+"""What any networked part stands on: scheduler, streams, limits, log and codecs. Nothing of ours lies below it."""
--- a/tests/operation/cases.py
+++ b/tests/operation/cases.py
@@ -10,8 +10,8 @@
 from petrellane import config
 from petrellane import interface as api
 from petrellane.choice import Gateway
+from petrellane.gateway.passage import Account
 from petrellane.net.limits import Limits
-from petrellane.net.passage import Account
 from petrellane.operation import calls, succession
 from petrellane.operation.states import DRAINED, ENDING, SERVING, Service
 from tests.sockets import TOLD
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -19,9 +19,9 @@
 from benchmarks import fleet_count
 from petrellane import config
 from petrellane.net import resp
-from petrellane.net.discovery import Discovery
+from petrellane.gateway.discovery import Discovery
 from petrellane.net.limits import Limits
-from petrellane.net.node import Node
+from petrellane.gateway.node import Node
 from petrellane.net.scheduler import Scheduler
 
 PATIENCE = 20.0    # seconds of real time after which what is expected counts as never coming
