--- /dev/null
+++ b/petrellane/agreement/agent.py
@@ -0,0 +1,288 @@
+"""The agent at a gateway: answers control processes and other gateways on the management listener, asks other gateways
+what it may have missed, and puts in force what the rules say.
+
+It decides nothing: `member` does. What is remembered is on the disk before it is answered or put in force; a thread of its
+own waits for the disk, as RPCs must not. It promises that `begin` is called once the gateway knows what is in force, never
+before, and that `admits` is cheap.
+"""
+
+import contextlib
+import select
+import socket
+import threading
+from functools import partial
+
+import greenlet
+
+from petrellane.agreement import member, post, seal
+from petrellane.agreement.ballots import Generation, generation_of
+from petrellane.agreement.member import FIRST, Refusal, Standing, State
+from petrellane.agreement.policy import compared, digest, policy
+from petrellane.agreement.store import Store
+
+
+class Agent:
+    """One gateway's. `settings` are those of its own file; `takes` says why settings will not do here, or None; `adopt`
+    puts settings in force; `chance` draws from 0 to 1."""
+
+    SIDE_BY_SIDE = 4     # others that are asked at a time
+    PATIENCE = 0.5       # seconds that one may take to answer
+    IN_DOUBT = 3         # others asked a round while the decision is not known
+
+    def __init__(self, scheduler, limits, log, told, name, settings, takes, adopt, chance):
+        self.scheduler, self.limits, self.log, self.told, self.name = scheduler, limits, log, told, name
+        self.settings, self.takes, self.adopt, self.chance = settings, takes, adopt, chance
+        self.store, self.remembers, self.writable = Store(told.state, name), True, True
+        self.state = State(Generation(FIRST, digest(settings), policy(settings), tuple(told.members)))
+        self.standing = Standing(name, told.members, False, scheduler.monotonic())
+        self.part = False          # we answer and ask: this process is the gateway
+        self.begin = None
+        self.asking = self.over = self.busy = False
+        self.announced = self.drifted = None
+
+    # Life.
+
+    def load(self):
+        """Take up what is remembered, where there is anything; a folder that can't be used takes us out of changes."""
+        found, why = self.store.load()
+        self.remembers = found is not None and why is None
+        if why:
+            self.log.event("agreement_unreadable", error=why)
+        if found:
+            self.state = found if found.in_force.number else self.state._replace(
+                promised=found.promised, possible=found.possible, denied=found.denied)
+        if self.bound():
+            self.put()
+            self.drifts(self.settings)
+
+    def start(self, begin, told=None):
+        """Take part from now on, and call `begin` once it is known what is in force. `told` is what the process before
+        said that it remembers: where our folder does not have it, we ask as one that remembers nothing."""
+        self.load()
+        if told and told != self.state.told():
+            self.remembers = False
+        self.begin, self.part = begin, True
+        self.anew()
+
+    def anew(self):
+        """Know nothing, and ask."""
+        self.standing = Standing(self.name, self.members(), self.remembers, self.scheduler.monotonic())
+        self.knows()
+        self.ask()
+
+    def members(self):
+        """Who has to agree: whom the generation in force names, or our file where none was agreed on."""
+        return self.state.in_force.members if self.state.in_force.number else tuple(self.told.members)
+
+    def leave(self):
+        """Another process is the gateway from now on."""
+        self.part = False
+
+    def back(self):
+        """It is gone again; what it did meanwhile is in the folder."""
+        self.load()
+        self.part = True
+        self.anew()
+
+    def end(self):
+        self.over = True
+
+    def bound(self):
+        """Whether settings are agreed: with the first generation on, what a file says of them counts no more."""
+        return bool(self.state.in_force.number or self.state.possible)
+
+    # What is remembered, and in force.
+
+    @contextlib.contextmanager
+    def turn(self):
+        """One greenlet at a time goes from what is remembered to what is."""
+        while self.busy:
+            self.scheduler.wait(0.002)
+        self.busy = True
+        try:
+            yield
+        finally:
+            self.busy = False
+
+    def remember(self, state):
+        """Remember durably, in a turn of ours; False where the folder can't be written, and nothing is changed then."""
+        trouble = self.saved(state)
+        if trouble and self.writable:
+            self.log.event("agreement_unwritten", folder=self.told.state, error=str(trouble))
+        self.writable = not trouble
+        if not trouble:
+            self.state = state
+        return not trouble
+
+    def saved(self, state):
+        """Wait until the disk has it; the OSError where it has not."""
+        ours, theirs = socket.socketpair()
+        told, current = [], greenlet.getcurrent()
+
+        def save():
+            try:
+                self.store.save(state)
+                told.append(None)
+            except OSError as error:
+                told.append(error)
+            theirs.send(b".")
+        self.scheduler.register(ours.fileno(), select.POLLIN, lambda events: current.switch())
+        threading.Thread(target=save, daemon=True).start()
+        try:
+            while not told:
+                self.scheduler.wait()
+        finally:
+            self.scheduler.unregister(ours.fileno())
+            ours.close()
+            theirs.close()
+        return told[0]
+
+    def put(self):
+        """Admit under what is remembered."""
+        self.standing.of(self.members())
+        said = self.state.in_force.ballot, tuple(one.ballot for one in self.state.possible)
+        if said != self.announced:
+            self.announced = said
+            self.adopt(member.admitted(self.state))
+            self.log.event("generation", number=said[0].number, epoch=list(said[0].epoch),
+                           digest=self.state.in_force.digest, possible=[one.number for one in said[1]])
+            if self.state.possible:
+                self.ask()
+
+    def desk(self, fields, body):
+        """A call on the management listener: its status, body and fields."""
+        asked = fields.get(seal.FIELD, b"")
+        try:
+            message = seal.understood(self.told.key, self.name, asked, body)
+        except seal.Unsealed as error:
+            return 401, b'{"refused":"seal"}', {"Petrellane-Why": str(error)}
+        except ValueError:
+            return 400, b'{"refused":"form"}', {}
+        status, told = self.heard(message)
+        body, own = seal.answer(self.told.key, asked, told)
+        return status, body, {seal.FIELD.decode(): own.decode()}
+
+    def heard(self, message):
+        """A message under the key: the status and the answer."""
+        if not self.part:
+            return 503, {"refused": "elsewhere", "why": "another process of this gateway is asked, or none yet"}
+        with self.turn():
+            try:
+                after, told = member.heard(self.state, message, self.takes)
+            except Refusal as refusal:
+                if refusal.cause == "settings":
+                    self.log.event("agreement_refused", do=message["do"], number=message.get("number"), error=refusal.text)
+                return refusal.status, refusal.told()
+            if after != self.state:
+                if not self.remember(after):
+                    return 507, {"refused": "unwritten", "why": f"{self.told.state}: the state can't be written"}
+                self.put()
+                self.knows()
+            return 200, told
+
+    def drifts(self, settings):
+        """The gateway's file was read anew. What it says of settings, where these are agreed, is told and not taken; else
+        it is what is in force here. True where it was taken."""
+        if self.bound():
+            if digest(settings) not in (self.state.in_force.digest, self.drifted):    # staff see it, once
+                self.drifted = digest(settings)
+                self.log.event("drift", number=self.state.in_force.number,
+                               lines=compared(self.state.in_force.content, settings)[:20])
+            return False
+        self.settings = settings
+        self.state = self.state._replace(in_force=Generation(FIRST, digest(settings), policy(settings),
+                                                             tuple(self.told.members)))
+        return True
+
+    # What we may have missed.
+
+    def admits(self):
+        """Whether an RPC that is here now may be admitted."""
+        if self.standing.admits(self.scheduler.monotonic()):
+            return True
+        self.look()
+        return self.standing.known
+
+    def look(self):
+        """Told often: whether we stood still so long that others may have gone on without us."""
+        if self.standing.look(self.scheduler.monotonic()) and self.part:
+            self.log.event("stood_still", known=self.standing.known)
+            self.load()    # a process that took our place may have written there
+            self.ask()
+
+    def ask(self):
+        if not self.asking and not self.over:
+            self.asking = True
+            self.scheduler.spawn(self.rounds)
+
+    def rounds(self):
+        """Ask others for as long as we don't know what is in force, or whether what is possible was decided."""
+        outside = False
+        with self.turn():
+            self.remember(self.state)    # whether the folder can be written shows now, not in the first change
+        while self.part and not self.over and (not self.standing.known or self.state.possible):
+            if self.name not in self.standing.members and not outside:
+                outside = True
+                self.log.event("not_on_roster", number=self.state.in_force.number, members=len(self.standing.members))
+            if self.standing.known:    # a decision mostly comes by itself
+                self.scheduler.wait(member.ASK * (0.5 + self.chance()))
+                if not self.state.possible and self.standing.known:
+                    break
+            names = [name for name in self.told.members if name != self.name and (
+                self.standing.known or outside or name not in self.standing.heard)]
+            names.sort(key=lambda name: self.chance())
+            self.round(names[:self.IN_DOUBT] if self.standing.known else names)
+            if not self.standing.known:
+                self.scheduler.wait(member.ASK * (0.5 + self.chance()))
+        self.asking = False
+
+    def round(self, names):
+        """Ask these, a few side by side, until we know."""
+        left, busy = list(names), []
+        knew = self.standing.known
+
+        def some():
+            while left and (knew or not self.standing.known) and self.part:
+                self.learn_from(left.pop())
+            busy.pop()
+        for _ in range(min(self.SIDE_BY_SIDE, len(left))):
+            busy.append(None)
+            self.scheduler.spawn(some)
+        while busy:
+            self.scheduler.wait(0.01)
+
+    def learn_from(self, name):
+        """Ask one gateway, and take up what it knows and we do not."""
+        for address in self.told.members[name]:
+            try:
+                call = partial(post.ask, self.scheduler, self.limits, self.told.key, address, seal.PATH)
+                told = call({"do": "state", "to": name}, self.PATIENCE)
+                if "refused" in told:
+                    continue
+                learnt = member.learnt_of(told)
+                wanted = member.missing(self.state, learnt)
+                fetched = [generation_of(call({"do": "content", "to": name, "number": one.number,
+                                                      "epoch": list(one.epoch)}, self.PATIENCE), digest)
+                           for one in wanted]
+                with self.turn():
+                    after = member.learn(self.state, learnt, fetched, self.takes)
+                    if after != self.state:
+                        if not self.remember(after):
+                            self.state, self.remembers = after, False    # it holds for this life
+                        self.put()
+            except (post.Nobody, post.Silent, ValueError):
+                continue
+            except Refusal as refusal:
+                self.log.event("agreement_refused", do="learn", gateway_asked=name, error=refusal.text)
+                return
+            self.standing.told(name)
+            self.knows()
+            return
+
+    def knows(self):
+        """Begin, where that was waited for and it is known now what is in force."""
+        if self.standing.known and self.begin:
+            begin, self.begin = self.begin, None
+            self.put()
+            self.log.event("agreed", number=self.state.in_force.number, asked=len(self.standing.heard))
+            begin()
--- /dev/null
+++ b/petrellane/agreement/post.py
@@ -0,0 +1,48 @@
+"""Asks one gateway or control process one thing, over HTTP/1.1, a call a connection."""
+
+import orjson
+
+from petrellane.agreement import seal
+from petrellane.net import http
+from petrellane.net.resp import Malformed
+from petrellane.net.stream import Closed, Stream
+
+
+class Nobody(Exception):
+    """The machine refused the connection: nobody listens there."""
+
+
+class Silent(Exception):
+    """No answer that can be read; whether the question arrived is not known."""
+
+
+class Impostor(Silent):
+    """Who answers there doesn't have our key, or is somebody else."""
+
+
+def ask(scheduler, limits, key, address, path, message, patience):
+    """The answer to a message, within so many seconds. Raises Nobody or Silent."""
+    until, body_seal = scheduler.now() + patience, None
+    try:
+        stream = Stream.dial(scheduler, limits, address, patience)
+    except ConnectionRefusedError as error:
+        raise Nobody(str(error)) from None
+    except OSError as error:
+        raise Silent(f"no connection: {error}") from None
+    try:
+        body, body_seal = seal.question(key, message)
+        stream.write(http.post(path.decode(), "%s:%d" % address, {seal.FIELD.decode(): body_seal.decode()}, body))
+        while not (found := http.head(stream.buffer, limits)):
+            stream.fill(max(0.0, until - scheduler.now()))
+        status, fields, end = found
+        del stream.buffer[:end]
+        told = http.body(stream, fields, limits, max(0.0, until - scheduler.now()))
+        if seal.FIELD not in fields:
+            raise Impostor(f"status {status} without a seal: {told[:100].decode('latin-1').strip()}")
+        return seal.answered(key, body_seal, fields.get(seal.FIELD), told)
+    except seal.Unsealed as error:
+        raise Impostor(str(error)) from None
+    except (OSError, Closed, Malformed, ValueError, orjson.JSONDecodeError) as error:
+        raise Silent(str(error) or type(error).__name__) from None
+    finally:
+        stream.close()
--- a/petrellane/cli.py
+++ b/petrellane/cli.py
@@ -81,3 +81,105 @@
         raise typer.Exit(command.replay(file, seed, write))
     except ScenarioError as error:
         refuse(error)
+
+
+settings_app = typer.Typer(help="Settings that take hold at every gateway or at none, through a control process.",
+                           no_args_is_help=True, add_completion=False, rich_markup_mode=None)
+app.add_typer(settings_app, name="settings")
+CONTROL = Annotated[str, typer.Option("--control", help="The control process's TOML file.", envvar="PETRELLANE_CONTROL")]
+JSON = Annotated[bool, typer.Option("--json", help="One JSON object in place of words.")]
+WAIT = Annotated[float, typer.Option("--wait", min=0.0, help="Seconds to follow a change for.")]
+WITHOUT = Annotated[list[str], typer.Option("--without", help="A gateway whose process has surely ended, by your word.")]
+
+
+@app.command()
+def control(file: Annotated[str, typer.Argument(help="A TOML file; docs/agreeing.md names its keys.")]):
+    """Run the control process that staff propose settings to, until SIGTERM."""
+    from petrellane.agreement.control import Control
+    from petrellane.agreement.journal import JournalError
+    from petrellane.config import ConfigError
+    from petrellane.config import control as read
+    try:
+        process = Control(read(file))
+    except (ConfigError, JournalError) as error:
+        refuse(error)
+    except OSError as error:
+        refuse(f"listen: expected an address to listen at: {error}")
+    process.obey({signal.SIGTERM, signal.SIGINT})
+    process.run()
+
+
+def of_control(call, file, *words):
+    """Do something with a control process, and end with its exit code."""
+    from petrellane.agreement import words as told
+    from petrellane.config import ConfigError
+    from petrellane.config import control as read
+    try:
+        raise typer.Exit(getattr(told, call)(told.Control(read(file)), *words))
+    except ConfigError as error:
+        refuse(error)
+
+
+@settings_app.command("propose")
+def settings_propose(file: Annotated[str, typer.Argument(help="JSON: settings, or a gateway's whole configuration.")],
+                     control: CONTROL, without: WITHOUT = [], wait: WAIT = 10.0,    # noqa: B006
+                     less: Annotated[bool, typer.Option(help="Keys of the settings in force may be lacking.")] = False,
+                     json: JSON = False):
+    """Propose settings. Exit code 0 in force, 2 what you gave is wrong, 3 refused, 4 aborted, 5 in doubt."""
+    of_control("propose", control, file, without, wait, less, json)
+
+
+@settings_app.command("back")
+def settings_back(number: int, control: CONTROL, without: WITHOUT = [], wait: WAIT = 10.0,    # noqa: B006
+                  json: JSON = False):
+    """Propose the settings of an earlier generation again, as a new change."""
+    of_control("back", control, number, without, wait, json)
+
+
+@settings_app.command("status")
+def settings_status(control: CONTROL, json: JSON = False):
+    """What is in force where, and what is under way."""
+    of_control("status", control, json)
+
+
+@settings_app.command("history")
+def settings_history(control: CONTROL, json: JSON = False):
+    """All changes, with what became of each."""
+    of_control("history", control, json)
+
+
+@settings_app.command("show")
+def settings_show(number: int, control: CONTROL, json: JSON = False):
+    """The settings of a generation."""
+    of_control("show", control, number, json)
+
+
+@settings_app.command("diff")
+def settings_diff(one: Annotated[str, typer.Argument(help="A generation's number, or a file.")],
+                  other: Annotated[str, typer.Argument(help="A generation's number, or a file.")],
+                  control: CONTROL, json: JSON = False):
+    """What changes for whom between two generations, or to a file's settings, in words."""
+    of_control("diff", control, one, other, json)
+
+
+lab_app = typer.Typer(help="A rig of many processes on loopback, with faults between them.", no_args_is_help=True,
+                      add_completion=False, rich_markup_mode=None)
+app.add_typer(lab_app, name="lab")
+
+
+@lab_app.command("run")
+def lab_run(file: Annotated[str, typer.Argument(help="A run file; docs/lab.md has the notation.")]):
+    """Play a run file and tell what happened; exit code 1 when a rule broke or a process crashed."""
+    from petrellane.lab import command
+    from petrellane.lab.play import PlayError
+    try:
+        raise typer.Exit(command.play_file(file))
+    except PlayError as error:
+        refuse(error)
+
+
+@lab_app.command("demo")
+def lab_demo():
+    """Three gateways, six hosts, 20 s of load, one host killed half way; ends by itself."""
+    from petrellane.lab import command
+    raise typer.Exit(command.demo())
--- a/petrellane/config.py
+++ b/petrellane/config.py
@@ -10,6 +10,7 @@
 import math
 import os
 import socket
+import tomllib
 from dataclasses import dataclass, fields, replace
 from typing import NamedTuple
 
@@ -220,6 +221,94 @@
             lacks(value, told[key], here)
 
 
+@dataclass(frozen=True)
+class Agreement:
+    """What a gateway needs to take part in agreement on settings: the key that all share, a folder that outlives it, and
+    where each gateway's management listens (one address, or several where processes follow each other)."""
+    key: bytes
+    state: str
+    members: dict    # name -> addresses
+
+
+def agreement(told, name, management):
+    """The section `agreement` of a gateway's file, checked; None where there is none."""
+    if told.value.get("agreement") is None:
+        return None
+    section = told.section("agreement")
+    if not management:
+        raise ConfigError("management: missing, expected HOST:PORT, as agreement needs it")
+    members = roster(section.section("members"))
+    if name not in members:
+        raise ConfigError(f"agreement.members: expected {name} among them, found {brief(sorted(members))}")
+    state = section.text("state")
+    if not os.path.isdir(state):
+        raise ConfigError(f"agreement.state: expected a folder, found {brief(state)}")
+    return Agreement(key_file(section.text("key_file"), "agreement.key_file"), state, members)
+
+
+def roster(section):
+    """Gateways by name, each with one address or several; no address twice."""
+    members, owners = {}, {}
+    for name, value in section.value.items():
+        path = f"{section.path}.{name}"
+        texts = value if isinstance(value, list) else [value]
+        if not texts or not all(isinstance(text, str) for text in texts):
+            raise ConfigError(f"{path}: expected HOST:PORT or a list of these, found {brief(value)}")
+        members[name] = [address(text, path) for text in texts]
+        for one in members[name]:
+            if one in owners:
+                raise ConfigError(f"{path}: expected an address of its own, found that of {owners[one]}")
+            owners[one] = name
+    if not members:
+        raise ConfigError(f"{section.path}: expected at least one gateway, found none")
+    return members
+
+
+def key_file(path, key):
+    """The shared key that a file holds, without white space around it."""
+    try:
+        with open(path, "rb") as file:
+            found = file.read(4096).strip()
+    except OSError as error:
+        raise ConfigError(f"{key}: expected a readable file at {path}: {error.strerror}") from None
+    if len(found) < 16:
+        raise ConfigError(f"{key}: expected at least 16 bytes in {path}, found {len(found)}")
+    return found
+
+
+@dataclass(frozen=True)
+class Control:
+    """What a control process is told: its name, where staff call, its journal, the key and the roster."""
+    name: str
+    listen: tuple
+    journal: str
+    key: bytes
+    members: dict
+
+
+def control(path):
+    """A control process's configuration from a TOML file; paths in it are taken from its folder. Raises ConfigError."""
+    try:
+        with open(path, "rb") as file:
+            told = Section(tomllib.load(file))
+    except OSError as error:
+        raise ConfigError(f"{path}: expected a readable file: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: expected TOML: {error}") from None
+    folder, name = os.path.dirname(os.path.abspath(path)), told.text("name")
+    if not 0 < len(name) <= 64:
+        raise ConfigError(f"name: expected 1 to 64 characters, found {brief(name)}")
+    if unknown := sorted(told.value.keys() - {"name", "listen", "journal", "key_file", "gateways"}):
+        raise ConfigError(f"{unknown[0]}: expected no such key")
+    return Control(name, told.address("listen"), os.path.join(folder, told.text("journal")),
+                   key_file(os.path.join(folder, told.text("key_file")), "key_file"), roster(told.section("gateways")))
+
+
+def settled(before, told):
+    """The configuration in force with other settings, checked as at a reload. Raises ConfigError."""
+    return replace(before, settings=renewed(before.settings, settings(Section(told, "settings"))))
+
+
 @dataclass(frozen=True)
 class Config:
     """All that a gateway is told at its start."""
@@ -234,6 +323,7 @@
     sockets: int
     known: HostList
     settings: Settings
+    agreement: Agreement | None
     raw: dict    # as it was read, but for the host list
 
 
@@ -290,10 +380,13 @@
         seed = int(seed, 16)
     except ValueError:
         raise ConfigError(f"seed: expected hex digits, found {brief(seed)}") from None
+    name, management = told.text("name"), None
+    if told.value.get("management") is not None:
+        management = told.address("management")
     return Config(
-        name=told.text("name"), listen=told.address("listen"), discovery=told.address("discovery"),
+        name=name, listen=told.address("listen"), discovery=told.address("discovery"),
         listen_fd=listening((environ or {}).get("PROXY_LISTEN_FD")),
-        management=told.address("management") if told.value.get("management") is not None else None,
+        management=management, agreement=agreement(told, name, management),
         counter=told.address("counter") if set_up.may_count else None, seed=seed,
         memory_mb=limits.number("memory_mb", 192), sockets=limits.whole("sockets", 1024, 64),
         known=host_list(told.section("known", {"index": 0, "snapshot": True, "endpoints": []})), settings=set_up, raw=raw)
--- a/petrellane/gateway/driver.py
+++ b/petrellane/gateway/driver.py
@@ -20,7 +20,7 @@
         self.customers, self.hosts, self.exchanges = WeakValueDictionary(), {}, {}
         self.ids = {}    # id -> exchange, while it is open
         self.tally = Counter()    # what came, went out and was answered since the last figures, by kind
-        self.upstream = self.counter = self.handover = None    # set before the first event
+        self.upstream = self.counter = self.handover = self.agent = None    # set before the first event
         self.carriers = {api.CallOut: self.call_out, api.PushBack: self.push_back, api.Abort: self.abort,
                          api.Cancel: self.cancel, api.Add: self.add, api.Wake: self.wake,
                          api.Log: self.note, api.Subscribe: self.subscribe}
@@ -65,6 +65,10 @@
     def place(self, exchange):
         """A client's RPC; BadField when it makes no sense."""
         now = self.now()
+        if self.agent and not self.agent.admits():    # before it is looked at under settings that others may have left
+            self.tally["pushed generation"] += 1
+            exchange.finish(b"-BUSY\r\n")
+            return
         method = self.settings.methods.get(exchange.text("c"))
         plan = self.settings.plans.get(exchange.text("t"))
         if method is None:
--- a/petrellane/gateway/node.py
+++ b/petrellane/gateway/node.py
@@ -9,7 +9,7 @@
 from collections import Counter as Tally
 from dataclasses import replace
 
-from petrellane.config import ConfigError
+from petrellane.config import ConfigError, settled
 from petrellane.gateway.counter import Counter
 from petrellane.gateway.discovery import Discovery
 from petrellane.gateway.driver import Driver
@@ -45,6 +45,14 @@
         if config.counter:
             self.driver.counter = Counter(self.scheduler, self.limits, config.counter, self.driver.counted)
         self.discovery = self.watch(config.known.index if config.known.entries else None)
+        self.agent = None
+        if config.agreement:    # imported where it is asked for: a gateway alone starts without it
+            from petrellane.agreement.agent import Agent
+            from petrellane.agreement.seal import PATH
+            self.agent = self.driver.agent = Agent(
+                self.scheduler, self.limits, self.log, config.agreement, config.name, config.raw["settings"], self.takes,
+                self.adopt, self.driver.gateway.random)
+            self.management.desks[PATH] = self.agent.desk
         self.ending = self.succeeding = False
         self.handover = None
         if config.listen_fd is not None:
@@ -74,6 +82,8 @@
     def start(self):
         """Listen, and watch the host list; the scheduler does the rest."""
         self.driver.start(self.config.known)
+        if self.agent:
+            self.agent.load()
         self.scheduler.spawn(self.discovery.run)
         if self.config.management:
             self.management.listen(self.config.management)
@@ -83,14 +93,22 @@
             self.server.inherit(self.config.listen_fd)
             self.scheduler.after(self.limits.listed, self.succeed)
         else:
-            self.server.listen(self.config.listen)
+            self.server.listen(self.config.listen, now=not self.agent)
+            self.settle()
+
+    def settle(self):
+        """Serve, once it is known what is in force where settings are agreed on. Staff and other gateways find us
+        listening before we ask: whoever goes on without us asks again after we have."""
+        if self.agent:
+            self.agent.start(self.serve, self.handover and self.handover.generation)
+        else:
             self.serve()
 
     def succeed(self):
         """Follow the process before, where there is one: once, when we know where hosts are."""
         if self.handover and not self.succeeding:
             self.succeeding = True
-            self.handover.ask(self.serve)
+            self.handover.ask(self.settle)
 
     def serve(self):
         """Take clients."""
@@ -102,7 +120,11 @@
         """Give up what the process that follows is to have, and say what it was."""
         for pool in self.upstream.pools.values():
             pool.retire(math.inf)
-        return succession.given(self.driver.gateway, self.scheduler.now())
+        generation = None
+        if self.agent:
+            self.agent.leave()
+            generation = self.agent.state.told()
+        return succession.given(self.driver.gateway, self.scheduler.now(), generation)
 
     def beside(self):
         """The process before gave nothing, and may go on."""
@@ -114,10 +136,14 @@
         self.server.hand(heir)
         if not heir:
             succession.resumed(self.driver.gateway, self.scheduler.now())
+            if self.agent:
+                self.agent.back()
 
     def beat(self):
         """Never let a poll last long: one that overruns tells that the process stood still."""
         self.scheduler.after(self.limits.beat, self.beat)
+        if self.agent:
+            self.agent.look()
 
     def tell(self):
         """Log what was counted since the last time, where there is anything; a line a second at most."""
@@ -161,12 +187,10 @@
         moved = [key for key, before, now in (("discovery", self.config.discovery, config.discovery),
                                               ("counter", self.config.counter, counter)) if before and before != now]
         before, now = self.config.settings, config.settings
-        self.config = replace(self.config, discovery=config.discovery, counter=counter, settings=now, raw=config.raw)
-        self.limits = self.limits.renewed(config)
-        for part in (self.server, self.upstream, self.management, self.discovery, self.driver.counter):
-            if part:
-                part.limits = self.limits
-        self.driver.renewed(now, self.limits)
+        if self.agent and not self.agent.drifts(config.raw["settings"]):
+            now = before
+        self.config = replace(self.config, discovery=config.discovery, counter=counter, raw=config.raw)
+        self.put(now)
         if "counter" in moved:
             self.driver.counter.move(counter)
         if "discovery" in moved:    # the list is asked for whole, whatever version the old address gave
@@ -176,6 +200,35 @@
         self.log.event("reloaded", moved=moved, methods=self.differ(before.methods, now.methods),
                        plans=self.differ(before.plans, now.plans))
 
+    def put(self, settings):
+        """Put settings in force."""
+        self.config = replace(self.config, settings=settings)
+        self.limits = self.limits.renewed(self.config)
+        for part in (self.server, self.upstream, self.management, self.discovery, self.driver.counter, self.agent):
+            if part:
+                part.limits = self.limits
+        self.driver.renewed(settings, self.limits)
+
+    def agreed(self, content):
+        """The configuration with settings that are agreed on, and what of them is our own. Raises ConfigError."""
+        from petrellane.agreement import policy
+        return settled(self.config, {**policy.own(self.config.raw["settings"]), **content})
+
+    def takes(self, content):
+        """Why agreed settings will not do here, in one line; None where they do."""
+        try:
+            self.agreed(content)
+        except ConfigError as error:
+            return str(error)
+        return None
+
+    def adopt(self, content):
+        """Put agreed settings in force; `takes` has looked at them."""
+        before, now = self.config.settings, self.agreed(content).settings
+        self.put(now)
+        self.log.event("settings", methods=self.differ(before.methods, now.methods),
+                       plans=self.differ(before.plans, now.plans))
+
     @staticmethod
     def differ(before, now):
         """The names that came, went or stand for something else."""
@@ -204,6 +257,8 @@
             self.scheduler.after(self.limits.let_go, self.stop)
             return
         self.management.end()
+        if self.agent:
+            self.agent.end()
         if self.handover:
             self.handover.close()
         self.scheduler.stop()
--- a/petrellane/gateway/server.py
+++ b/petrellane/gateway/server.py
@@ -32,12 +32,15 @@
         self.clients = {}    # connected ones, in the order of their last command
         self.silent, self.once = {}, {}    # those that have said nothing yet, or one thing, the oldest first
         self.listener, self.attending, self.starved = None, False, 0.0
+        self.bound = False   # the address is ours, and whoever comes is refused
         self.ended, self.until, self.draining = None, 0.0, False
         self.heir = None    # what passes connections on to the process that follows, while it does
 
-    def listen(self, address):
-        """Hold the address; callers are heard from `attend` on."""
-        self.listener = listening(address, self.limits.backlog)
+    def listen(self, address, now=True):
+        """Listen at an address; callers are heard from `attend` on. Or only take the address for now: who comes is refused,
+        as what is taken must be answered."""
+        self.listener = listening(address, self.limits.backlog if now else None)
+        self.bound = not now
 
     def inherit(self, descriptor):
         """The same with a listening socket that others hold as well, and that outlives us."""
@@ -47,6 +50,9 @@
     def attend(self):
         if self.listener and not self.heir and not self.attending:
             self.attending = True
+            if self.bound:
+                self.listener.listen(self.limits.backlog)
+                self.bound = False
             self.scheduler.register(self.listener.fileno(), select.POLLIN, self.accept)
 
     def accept(self, events=0):
--- a/petrellane/net/http.py
+++ b/petrellane/net/http.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 as far as discovery speaks it: one GET at a time, answers with a length or in chunks."""
+"""HTTP/1.1 as far as discovery and staff speak it: one call at a time, answers with a length or in chunks."""
 
 from petrellane.net.resp import Malformed
 
@@ -7,6 +7,13 @@
     return f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
 
 
+def post(path, host, fields, body):
+    """A call with a JSON body, after which the connection ends."""
+    more = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return (f"POST {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+            f"{more}Connection: close\r\n\r\n").encode() + body
+
+
 def head(buffer, limits):
     """The status, the fields (names in lower case) and the length of an answer's head; None when it is not all
     there."""
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -57,6 +57,7 @@
     callers: int = 8                  # calls of staff that are half way
     call: float = 5.0                 # and the time that one has
     head: int = 8 * 1024              # and the head of one
+    body: int = 1024 * 1024           # and its body, where it has one
     ending_most: float = 15.0         # and then, for the clients that never let go of us
     beat: float = 0.1                 # a timer rings so often, which tells of having stood still in a poll
     figures: float = 1.0              # between log lines that tell what was counted
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -13,13 +13,15 @@
 
 
 def listening(address, backlog):
-    """A socket that listens at an address and never waits; raises OSError where that can't be."""
+    """A socket that listens at an address and never waits, or one that is only bound there and refuses whoever comes, where
+    the backlog is None; raises OSError where that can't be."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind(address)
-        sock.listen(backlog)
+        if backlog is not None:
+            sock.listen(backlog)
     except OSError:
         sock.close()
         raise
@@ -144,8 +146,9 @@
             self.fail("the peer reads nothing")
             return
         for piece in pieces:
-            self.unsent.append(memoryview(piece))
-            self.queued += len(piece)
+            if len(piece):    # an empty one would never be gone: the socket takes nothing of it
+                self.unsent.append(memoryview(piece))
+                self.queued += len(piece)
         if not self.dialing and not self.events & WRITE:
             self.flush()
 
--- a/petrellane/operation/calls.py
+++ b/petrellane/operation/calls.py
@@ -3,11 +3,13 @@
 import orjson
 
 PATHS = {b"/-/ready": b"GET", b"/-/drain": b"POST", b"/-/resume": b"POST"}
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-           409: "Conflict", 431: "Request Header Fields Too Large", 503: "Service Unavailable"}
+REASONS = {200: "OK", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 405: "Method Not Allowed",
+           408: "Request Timeout", 409: "Conflict", 411: "Length Required", 413: "Content Too Large",
+           422: "Unprocessable Content", 431: "Request Header Fields Too Large", 503: "Service Unavailable",
+           507: "Insufficient Storage"}
 
 
-def understood(head):
+def understood(head, paths=PATHS):
     """The path of a request whose head is given up to its empty line, and 0; or None and the status that refuses it."""
     first, *fields = head.split(b"\r\n")
     words = first.split(b" ")
@@ -16,9 +18,23 @@
     if any(b":" not in field or field[:1] in b" \t:" for field in fields):
         return None, 400
     path = words[1].partition(b"?")[0]
-    if path not in PATHS:
+    if path not in paths:
         return None, 404
-    return (path, 0) if words[0] == PATHS[path] else (None, 405)
+    return (path, 0) if words[0] == paths[path] else (None, 405)
+
+
+def fields_of(head):
+    """The fields of a head that is understood, by their names in lower case."""
+    pairs = (field.partition(b":") for field in head.split(b"\r\n")[1:])
+    return {name.strip().lower(): value.strip() for name, _, value in pairs}
+
+
+def length_of(fields, most):
+    """How long a body is that comes with these fields, and 0; or None and the status that refuses it."""
+    told = fields.get(b"content-length", b"")
+    if b"transfer-encoding" in fields or not told.isdigit() or len(told) > 9:
+        return None, 411
+    return (int(told), 0) if int(told) <= most else (None, 413)
 
 
 def obeyed(service, path, now):
@@ -32,6 +48,11 @@
 def answer(status, state):
     """The bytes of an answer; it tells the gateway's state."""
     body = orjson.dumps({"state": state, "status": status}, option=orjson.OPT_APPEND_NEWLINE)
-    allow = "Allow: GET, POST\r\n" if status == 405 else ""
+    return whole(status, body, {"Allow": "GET, POST"} if status == 405 else {})
+
+
+def whole(status, body, fields):
+    """The bytes of an answer with a JSON body, after which the connection ends."""
+    more = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     return (f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n"
-            f"{allow}Connection: close\r\n\r\n").encode() + body
+            f"{more}Connection: close\r\n\r\n").encode() + body
--- a/petrellane/operation/handover.py
+++ b/petrellane/operation/handover.py
@@ -90,6 +90,7 @@
         self.folder, self.name = None, file_name(name)
         self.listener, self.successor, self.giver, self.links = None, None, None, {}
         self.link, self.taker, self.begin = None, None, None
+        self.generation = None    # what the process before remembers of agreement, where it said so
 
     def path(self):
         """Where the socket is. Paths of sockets are short, those of folders are not: it is named from the folder's
@@ -121,6 +122,7 @@
             link.send(answer)
         if ours:
             self.adopt(*ours)
+        self.generation = message.get("generation") or self.generation
         if "ended" in message and self.taker.ended(message["ended"]):
             self.settled(message["ended"], 1)
         if dropped:
--- a/petrellane/operation/management.py
+++ b/petrellane/operation/management.py
@@ -1,7 +1,8 @@
 """Where staff call: HTTP/1.1, one call a connection, answered however busy the gateway is.
 
 What a call means is in `calls`, what it does in `states`; here are sockets alone. Callers that never finish are bounded
-in number (the oldest half-way one makes room) and in time.
+in number (the oldest half-way one makes room) and in time. Other parts may have a desk here: a path whose calls have a
+body, and are answered by a call of theirs.
 """
 
 import select
@@ -18,6 +19,7 @@
         self.scheduler, self.limits, self.service = scheduler, limits, service
         self.changed, self.make_way = changed, make_way
         self.callers, self.listener = {}, None
+        self.desks = {}    # path -> what answers (fields, body) with a status, a body and fields
 
     def listen(self, address):
         """Listen at an address; raises OSError where that can't be."""
@@ -43,8 +45,7 @@
         """One call: its head, its answer, then the end; what follows a head is passed over."""
         until = self.scheduler.now() + self.limits.call
         try:
-            status = self.heard(stream, until)
-            stream.write(calls.answer(status, self.service.told))
+            stream.write(self.heard(stream, until))
             self.callers.pop(stream, None)    # it is no longer half way
             stream.finish()
             until = self.scheduler.now() + self.limits.linger
@@ -58,18 +59,30 @@
             stream.close()
 
     def heard(self, stream, until):
-        """Read a call's head and carry the call out; the status that answers it."""
-        while (end := stream.buffer.find(b"\r\n\r\n")) < 0:
-            if len(stream.buffer) > self.limits.head:
-                return 431
-            try:
+        """Read a call and carry it out; the bytes that answer it."""
+        try:
+            while (end := stream.buffer.find(b"\r\n\r\n")) < 0:
+                if len(stream.buffer) > self.limits.head:
+                    return calls.answer(431, self.service.told)
                 stream.fill(max(0.0, until - self.scheduler.now()))
-            except TimeoutError:
-                return 408
-        path, status = calls.understood(bytes(stream.buffer[:end]))
+            head = bytes(stream.buffer[:end])
+            path, status = calls.understood(head, calls.PATHS | dict.fromkeys(self.desks, b"POST"))
+            if path in self.desks:
+                return self.at_desk(stream, path, calls.fields_of(head), end + 4, until)
+        except TimeoutError:
+            return calls.answer(408, self.service.told)
         if path:
             before = self.service.state
             status = calls.obeyed(self.service, path, self.scheduler.now())
             if self.service.state != before:
                 self.changed()
-        return status
+        return calls.answer(status, self.service.told)
+
+    def at_desk(self, stream, path, fields, start, until):
+        """Read a body that begins there, and have it answered."""
+        length, status = calls.length_of(fields, self.limits.body)
+        if status:
+            return calls.answer(status, self.service.told)
+        while len(stream.buffer) < start + length:
+            stream.fill(max(0.0, until - self.scheduler.now()))
+        return calls.whole(*self.desks[path](fields, bytes(stream.buffer[start:start + length])))
--- a/petrellane/operation/succession.py
+++ b/petrellane/operation/succession.py
@@ -24,11 +24,13 @@
     return None if message.get("ask") == VERSION else {"refused": VERSION}
 
 
-def given(gateway, now):
-    """The messages that tell all leases of a module's gateway, which gives them up; the last one says so."""
+def given(gateway, now, generation=None):
+    """The messages that tell all leases of a module's gateway, which gives them up; the last one says so. The first tells
+    which settings are agreed on, where any are; a build that does not know that word passes it over."""
     rows = [{"customer": customer.name, "plan": customer.plan.name, "first": customer.first, "spread": customer.spread,
              "lease": finite(lease.given(now))} for customer, lease in gateway.leases.leases.items()]
-    return [{"leases": rows[at:at + CHUNK]} for at in range(0, len(rows), CHUNK)] + [{"given": len(rows)}]
+    first = [{"generation": generation}] if generation else []
+    return first + [{"leases": rows[at:at + CHUNK]} for at in range(0, len(rows), CHUNK)] + [{"given": len(rows)}]
 
 
 def finite(told):
--- /dev/null
+++ b/tests/agreement/cases.py
@@ -0,0 +1,367 @@
+"""The rules of agreement and what they remember, without a gateway: laws, all orders of events for small fleets, seeded runs
+for larger ones, planted faults, files cut at any byte."""
+
+import os
+import random
+import sqlite3
+import tempfile
+import unittest
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as some
+
+from petrellane.agreement import ballots, journal, leader, member, policy, seal, store
+from tests.agreement.planted import PLANTS, planted
+from tests.agreement.world import CONTENTS, NEW, OLD, OTHER, Fleet, explore, walk
+
+settings.register_profile("same", derandomize=True, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+settings.load_profile("same")
+number = some.integers(0, 5)
+method = some.fixed_dictionaries(
+    {"name": some.sampled_from("abc"), "effect": some.sampled_from(["pure", "token", "side_effect"])},
+    optional={"goalTime": number, "giveUp": number, "keyScope": some.sampled_from(["cell", "zone", "all", ""]),
+              "window": number, "worth": number, "streamed": some.booleans()})
+plan = some.fixed_dictionaries(
+    {"name": some.sampled_from("pqr")},
+    optional={key: number for key in (
+        "quotaRate", "storeSize", "ceilingRate", "ceilingBurst", "ceilingSlack", "maxOut", "pays")})
+some_settings = some.fixed_dictionaries(
+    {"classes": some.lists(method, max_size=3, unique_by=lambda row: row["name"]),
+     "contracts": some.lists(plan, max_size=3, unique_by=lambda row: row["name"])},
+    optional={"limits": some.fixed_dictionaries({}, optional={"maxAttempts": number, "mayCancel": some.booleans()}),
+              "replicasOfMe": number, "newer": number, "report": some.fixed_dictionaries(
+                  {"fields": some.lists(some.sampled_from("xyz"), unique=True)})})
+
+
+def drawn(seed):
+    """A fleet, its chance and the length of its run, from a seed."""
+    chance = random.Random(seed)
+    fleet = Fleet(chance.choice((1, 2, 3, 3, 4, 5)), chance.choice((("a",), ("a", "b"))), proposals=chance.choice((1, 2, 4)),
+                  crashes=chance.choice((0, 1, 3, 6)), faults=chance.choice((0, 3, 12)), lost=chance.random() < 0.3)
+    return fleet, chance, chance.choice((20, 60, 150))
+
+
+class Policy(unittest.TestCase):
+
+    @given(some_settings, some_settings, some_settings)
+    def test_the_meet_is_a_greatest_lower_bound(self, one, other, third):
+        both = policy.meet(one, other)
+        self.assertEqual(both, policy.meet(other, one))
+        self.assertEqual(policy.meet(one, one), policy.full(one))
+        self.assertEqual(policy.meet(both, third), policy.meet(one, policy.meet(other, third)))
+        self.assertTrue(policy.allows(one, both) and policy.allows(other, both))
+
+    @given(some_settings, some_settings)
+    def test_the_meet_allows_nothing_that_either_forbids(self, one, other):
+        met = policy.meet(one, other)
+        for told in (policy.full(one), policy.full(other)):
+            methods = {row["name"]: row for row in told["classes"]}
+            for row in met["classes"]:
+                there = methods[row["name"]]
+                self.assertEqual(row["effect"] == "pure", there["effect"] == "pure")    # the same command
+                self.assertFalse(row["effect"] == "side_effect" and there["effect"] == "token")    # its key is asked for
+                self.assertLessEqual(row["giveUp"], there["giveUp"])
+                if there["effect"] == "side_effect":    # nothing that may have run goes again
+                    self.assertEqual((row["keyScope"], row["window"]), ("none", 0))
+            plans = {row["name"]: row for row in told["contracts"]}
+            for row in met["contracts"]:
+                for rate in ("quotaRate", "ceilingRate", "maxOut"):
+                    if plans[row["name"]][rate]:
+                        self.assertTrue(0 < row[rate] <= plans[row["name"]][rate])
+            self.assertLessEqual(met["limits"]["maxAttempts"], told["limits"]["maxAttempts"])
+
+    @given(some_settings, some.randoms())
+    def test_what_says_the_same_has_one_digest(self, told, chance):
+        mixed = dict(chance.sample(list(told.items()), len(told)))
+        mixed["classes"] = chance.sample(told["classes"], len(told["classes"]))
+        mixed = {"locality": "own", **mixed, "unsaid": None}
+        self.assertEqual(policy.digest(told), policy.digest(mixed))
+        self.assertEqual(policy.compared(told, mixed), [])
+
+    @given(some_settings, some_settings)
+    def test_a_change_is_told_and_only_a_change(self, one, other):
+        self.assertEqual(not policy.compared(one, other), policy.full(one) == policy.full(other))
+
+    def test_words_of_a_change(self):
+        before = {"classes": [{"name": "look", "effect": "pure", "giveUp": 4_000_000}], "contracts": [
+            {"name": "sold", "ceilingRate": 40}]}
+        after = {"classes": [{"name": "post", "effect": "side_effect"}], "contracts": [{"name": "sold", "ceilingRate": 20}],
+                 "limits": {"maxAttempts": 2}}
+        self.assertEqual(policy.compared(before, after), [
+            "method look: gone", "method post: new, effect non-idempotent", "plan sold: ceiling 40 to 20",
+            "all: attempts 1 to 2"])
+
+
+class Members(unittest.TestCase):
+
+    def state(self, *possible):
+        names = ("g0", "g1", "g2")
+        made = [ballots.Generation(ballots.Ballot(at, ballots.Epoch(1, "a")), policy.digest(told), told, names)
+                for at, told in enumerate(CONTENTS)]
+        return member.State(made[0], ballots.Epoch(1, "a"), tuple(made[at] for at in possible)), made
+
+    def hear(self, state, do, generation, epoch=(1, "a"), **more):
+        told = {"do": do, "epoch_of": list(epoch), "base": {"number": 0, "epoch": [1, "a"]}, **generation.told(), **more}
+        return member.heard(state, told, lambda content: None)
+
+    def test_a_late_commit_changes_nothing(self):
+        state, made = self.state(1, 2)
+        state, _ = self.hear(state, "commit", made[2])
+        self.assertEqual(self.hear(state, "commit", made[1])[0].in_force, made[2])
+
+    def test_what_was_prepared_later_stays_possible(self):
+        state, made = self.state(1, 2)
+        state, _ = self.hear(state, "commit", made[1])
+        self.assertEqual((state.in_force, state.possible), (made[1], (made[2],)))
+        self.assertEqual(member.admitted(state), policy.meet(NEW, OTHER))
+
+    def test_what_is_refused(self):
+        state, made = self.state()
+        later = ballots.Generation(ballots.Ballot(1, ballots.Epoch(1, "a")), policy.digest(NEW), NEW)
+        denied, _ = self.hear(state, "deny", made[1])
+        for cause, given_state, message in (
+                ("epoch", state, {"epoch": (0, "a")}), ("form", state, {"digest": "00"}), ("form", state, {"number": -1}),
+                ("form", state, {"content": 3}), ("behind", state, {"base": {"number": 1, "epoch": [1, "a"]}}),
+                ("past", denied, {}), ("form", state, {"do": "else"}), ("form", state, {"epoch_of": "x"})):
+            with self.subTest(cause=cause, **message), self.assertRaises(member.Refusal) as found:
+                self.hear(given_state, message.pop("do", "prepare"), later, **message)
+            self.assertEqual(found.exception.cause, cause)
+        with self.assertRaises(member.Refusal) as found:
+            member.heard(state, {"do": "prepare", "epoch_of": [1, "a"], "base": {"number": 0, "epoch": [1, "a"]},
+                                 **later.told()}, lambda content: "settings.classes: wrong")
+        self.assertEqual((found.exception.status, found.exception.text), (422, "settings.classes: wrong"))
+
+    @given(some.dictionaries(some.sampled_from(["do", "epoch_of", "number", "epoch", "digest", "content", "base"]),
+                             some.one_of(some.none(), number, some.text(max_size=3), some.lists(number, max_size=2),
+                                         some.sampled_from(["prepare", "commit", "deny", "promise", "content", "state"]))))
+    def test_any_message_has_an_answer(self, message):
+        state, _ = self.state(1)
+        try:
+            after, told = member.heard(state, message, lambda content: None)
+            self.assertTrue(after.promised >= state.promised and "refused" not in told)
+        except member.Refusal as refusal:
+            self.assertIn(refusal.status, (400, 404, 409, 422))
+
+    def test_who_stood_still_asks_again(self):
+        standing = member.Standing("g0", ("g0", "g1", "g2"), True, 0.0)
+        self.assertFalse(standing.admits(0.1))
+        standing.told("g1")
+        self.assertTrue(standing.admits(0.1))
+        self.assertFalse(standing.admits(0.1 + member.FENCE))    # seen before anything else is told
+        self.assertTrue(standing.look(0.1 + member.FENCE))
+        self.assertFalse(standing.known)
+        standing.of(("g1", "g2"))
+        standing.told("g1")
+        standing.told("g2")
+        self.assertFalse(standing.known)    # no member: nobody tells it of changes
+
+
+class Orders(unittest.TestCase):
+    """All orders of messages, losses, doublings and crashes for small fleets: states counted, none broken."""
+
+    def test_two_gateways(self):
+        states, found = explore(Fleet(2, ("a",)), 99, 10_000)
+        self.assertIsNone(found)
+        self.assertGreater(states, 2_000)
+
+    def test_three_gateways(self):
+        states, found = explore(Fleet(3, ("a",), faults=0), 99, 10_000)
+        self.assertIsNone(found)
+        self.assertGreater(states, 3_000)
+
+    def test_two_control_processes(self):
+        states, found = explore(Fleet(2, ("a", "b"), crashes=0, faults=0), 99, 10_000)
+        self.assertIsNone(found)
+        self.assertGreater(states, 2_000)
+
+    def test_a_control_process_that_loses_its_journal(self):
+        states, found = explore(Fleet(3, ("a",), crashes=2, faults=0, lost=True), 99, 12_000)
+        self.assertIsNone(found)
+
+    def test_seeded_runs_of_up_to_five(self):
+        for seed in range(2_500):
+            fleet, chance, length = drawn(seed)
+            self.assertIsNone(walk(fleet, chance, length), seed)
+
+
+def found_by_a_seed(name):
+    def test(self):
+        with planted(name):
+            for seed in range(12_000):
+                fleet, chance, length = drawn(seed)
+                if walk(fleet, chance, length):
+                    return
+        self.fail("nothing found it")
+    return test
+
+
+class Planted(unittest.TestCase):
+    """Each planted fault is found."""
+
+
+for plant in PLANTS:
+    setattr(Planted, "test_" + plant.replace(" ", "_"), found_by_a_seed(plant))
+
+
+class Leaders(unittest.TestCase):
+
+    def lead(self, fleet, times=30):
+        for _ in range(times):
+            fleet.now += leader.LOOK / 2
+            for name in fleet.members:
+                if fleet.due(fleet.leaders["a"], name):
+                    fleet.take(("talk", "a", name))
+            fleet.leaders["a"].judge(fleet.now)
+        return fleet.leaders["a"]
+
+    def fleet(self, members=3):
+        fleet = Fleet(members, ("a",))
+        fleet.take(("lead", "a"))
+        self.lead(fleet)
+        return fleet
+
+    def test_a_gateway_that_is_counted_out_and_answers_ends_the_change(self):
+        fleet = self.fleet()
+        leads = fleet.leaders["a"]
+        change = leads.propose(NEW, ("g2",), "staff", fleet.now)
+        self.lead(fleet)
+        self.assertEqual((change.outcome, change.why), ("aborted", "g2 was counted out, and answers"))
+
+    def test_one_that_is_counted_out_may_stand_still(self):
+        """Nothing is decided without it before it would notice that it did."""
+        fleet = self.fleet()
+        leads, began = fleet.leaders["a"], fleet.now
+        fleet.members["g2"].crash()
+        change = leads.propose(NEW, ("g2",), "staff", fleet.now)
+        while change.outcome == "preparing":
+            self.lead(fleet, 1)
+        self.assertEqual(change.outcome, "committed")
+        self.assertGreaterEqual(fleet.now - began, 2 * member.FENCE)
+
+    def test_what_can_not_be_proposed(self):
+        fleet = self.fleet()
+        leads = fleet.leaders["a"]
+        for without in (("nobody",), ("g0", "g1")):
+            with self.assertRaises(leader.NotNow):
+                leads.propose(NEW, without, "staff", fleet.now)
+        first = leads.propose(NEW, (), "staff", fleet.now)
+        self.assertIs(leads.propose(dict(NEW), (), "staff", fleet.now), first)    # the same one twice is one
+        with self.assertRaises(leader.NotNow):
+            leads.propose(OTHER, (), "staff", fleet.now)
+        self.lead(fleet)
+        self.assertEqual(first.outcome, "committed")
+        self.assertIs(leads.propose(dict(NEW), (), "staff", fleet.now), first)
+
+    def test_a_journal_that_takes_nothing_decides_nothing(self):
+        fleet = self.fleet()
+        leads = fleet.leaders["a"]
+        change = leads.propose(NEW, (), "staff", fleet.now)
+        leads.journal.fails = "before"
+        with self.assertRaises(Exception):    # noqa: B017
+            for name in fleet.members:
+                leads.heard(name, leads.message(name, fleet.now), fleet.members[name].hear(leads.message(name, fleet.now)),
+                            fleet.now)
+        self.assertEqual(change.outcome, "preparing")
+        self.assertEqual(leads.in_force.content, OLD)
+        leads.journal.fails = ""
+        leads.judge(fleet.now)
+        self.assertEqual(change.outcome, "committed")
+
+
+
+class Remembered(unittest.TestCase):
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+
+    def states(self):
+        state, made = Members().state()
+        return [state, state._replace(possible=(made[1],)), member.put_in_force(state, made[1])]
+
+    def test_what_is_saved_is_loaded(self):
+        for state in self.states():
+            store.Store(self.folder.name, "g0").save(state)
+            kept = store.Store(self.folder.name, "g0")
+            self.assertEqual(kept.load(), (state, None))
+            self.assertEqual(store.Store(self.folder.name, "g1").load(), (None, None))
+
+    def test_a_file_that_is_cut_is_known_to_be(self):
+        """Cut at any byte, the last file is never taken for whole, and the one before is still there."""
+        kept, states = store.Store(self.folder.name, "g0"), self.states()
+        for state in states[:2]:
+            kept.save(state)
+        path = kept.paths[kept.turn % 2]
+        whole = open(path, "rb").read()
+        for length in range(len(whole)):
+            with open(path, "wb") as file:
+                file.write(whole[:length])
+            found, why = store.Store(self.folder.name, "g0").load()
+            self.assertEqual(found, states[0])
+            self.assertTrue(why and "\n" not in why)
+        with open(path, "wb") as file:
+            file.write(whole.replace(b'"version":1', b'"version":2'))
+        self.assertIn("expected version 1", store.Store(self.folder.name, "g0").load()[1])
+
+    def test_a_folder_that_can_not_be_written(self):
+        kept, states = store.Store(self.folder.name, "g0"), self.states()
+        kept.save(states[0])
+        kept.folder, kept.paths = "/nowhere", ["/nowhere/0", "/nowhere/1"]
+        with self.assertRaises(OSError):
+            kept.save(states[1])
+
+    def path(self):
+        return os.path.join(self.folder.name, "journal.db")
+
+    def test_the_journal_keeps_what_was_noted(self):
+        kept = journal.Journal(self.path())
+        kept.note({"kind": "epoch", "number": 1}, 5.0)
+        with self.assertRaises(journal.JournalError) as found:    # one process at a time
+            journal.Journal(self.path())
+        self.assertIn("another control process has it", str(found.exception))
+        kept.close()
+        self.assertEqual(journal.Journal(self.path()).records(), [{"kind": "epoch", "number": 1, "at": 5.0}])
+
+    def test_a_journal_cut_at_any_byte_is_whole_or_refused(self):
+        kept = journal.Journal(self.path())
+        for at in range(40):
+            kept.note({"kind": "epoch", "number": at, "text": "x" * 200}, float(at))
+        kept.close()
+        whole = open(self.path(), "rb").read()
+        for length in [*range(0, len(whole), 509), len(whole) - 1]:
+            with open(self.path(), "wb") as file:
+                file.write(whole[:length])
+            try:
+                kept = journal.Journal(self.path())
+                self.assertIn(len(kept.records()), (0, 40))    # an empty file is a new journal
+                kept.close()
+            except journal.JournalError as error:
+                self.assertNotIn("\n", str(error))
+
+    def test_a_journal_of_another_version(self):
+        base = sqlite3.connect(self.path())
+        base.execute("CREATE TABLE records (x)")
+        base.execute("PRAGMA user_version = 7")
+        base.close()
+        with self.assertRaises(journal.JournalError) as found:
+            journal.Journal(self.path())
+        self.assertIn("expected a journal of version 1, found 7: start the build that wrote it", str(found.exception))
+
+
+class Sealed(unittest.TestCase):
+
+    def test_only_who_has_the_key_is_understood(self):
+        body, own = seal.question(b"k" * 16, {"do": "state", "to": "g0"})
+        self.assertEqual(seal.understood(b"k" * 16, "g0", own, body)["do"], "state")
+        for key, name, mark, text in ((b"j" * 16, "g0", own, body), (b"k" * 16, "g1", own, body),
+                                      (b"k" * 16, "g0", b"", body), (b"k" * 16, "g0", own, body[:-1] + b" }")):
+            with self.assertRaises(seal.Unsealed):
+                seal.understood(key, name, mark, text)
+        answer, mark = seal.answer(b"k" * 16, own, {"a": 1})
+        self.assertEqual(seal.answered(b"k" * 16, own, mark, answer), {"a": 1})
+        other = seal.question(b"k" * 16, {"do": "state", "to": "g0"})[1]
+        with self.assertRaises(seal.Unsealed):    # an answer to another question
+            seal.answered(b"k" * 16, other, mark, answer)
+
+
+CASES = [Policy, Members, Orders, Planted, Leaders, Remembered, Sealed]
