A rig of many processes with relays that inject faults, and agreement shown on it

Need: nothing started several processes of the program and put faults between them; the wishes of the operators are to be shown that way.

Change: petrellane/lab. Real gateways and control processes, stand-ins for hosts, counter and discovery, relays (cut, mute, deaf, late, lossy, half, hang, refuse, reset), clients in an open loop, one clock, the referee over what hosts and clients saw; run files in TOML (`petrellane lab run`), `make demo`. The referee judges under which generation RPCs are admitted, by methods that one generation alone has. Processes die with the lab by the kernel's word. The tests run in three groups side by side.

Measured: 30 cases on real processes, the hard cases of agreement each with a twin that takes its guard out and is seen to break the rule (no meet, serving at once, no fence, silent counts as down, a majority is enough, the file by hand).

--- /dev/null
+++ b/petrellane/lab/__init__.py
@@ -0,0 +1,9 @@
+"""A rig of many processes on loopback: real gateways, stand-ins for all that they talk to, relays that inject faults
+between any two, clients in an open loop, and the referee over what everybody saw.
+
+    fleet (processes) -- relay -- standins (hosts, counter, discovery)
+    clients -- relay -- fleet            records -- referee
+
+Everything but the gateways and control processes runs in one process, on one scheduler and one clock. `run` plays a file,
+`command` tells it; tests and benchmarks use `Lab` directly.
+"""
--- /dev/null
+++ b/petrellane/lab/command.py
@@ -0,0 +1,116 @@
+"""What `petrellane lab run` and `petrellane lab demo` do: a live table, a time line, the verdict."""
+
+import time
+
+from rich.console import Console
+from rich.live import Live
+from rich.table import Table
+
+from petrellane.lab.fleet import Lab, Shape
+from petrellane.lab.play import Figures, Play, Stage, Step, load, shape_of
+from petrellane.referee import OK, PUSHED_BACK
+
+DEMO = Play(lab=Figures(gateways=3, hosts=6, seconds=20.0, rate=120.0),
+            step=[Step(at=10.0, do="kill", who=["h2"])])
+
+
+class Watch:
+    """A live table of what the gateways and hosts do; on no terminal, a line every five seconds."""
+
+    def __init__(self, lab, seconds):
+        self.lab, self.seconds, self.console = lab, seconds, Console()
+        self.began, self.before, self.next = time.monotonic(), {}, 5.0
+        self.live = Live(console=self.console, auto_refresh=False) if self.console.is_terminal else None
+
+    def __enter__(self):
+        if self.live:
+            self.live.start()
+        self.show()
+        return self
+
+    def __exit__(self, *error):
+        if self.live:
+            self.live.update(self.table(), refresh=True)
+            self.live.stop()
+
+    def show(self):
+        self.lab.scheduler.after(0.5, self.show)
+        passed = time.monotonic() - self.began
+        if self.live:
+            self.live.update(self.table(), refresh=True)
+        elif passed >= self.next:
+            self.next += 5.0
+            print(f"{passed:5.1f} s of {self.seconds:g}: {answers(self.lab)}", flush=True)
+
+    def table(self):
+        table = Table(title=f"{time.monotonic() - self.began:.1f} s of {self.seconds:g}   {answers(self.lab)}")
+        for name in ("gateway", "state", "RPCs/s", "call-outs/s", "clients", "host", "up", "at work", "RPCs run"):
+            table.add_column(name, justify="right")
+        rows = max(len(self.lab.gateways), len(self.lab.hosts))
+        for at in range(rows):
+            left = right = ["", "", "", "", ""]
+            if at < len(self.lab.gateways):
+                one = self.lab.gateways[at]
+                told = one.last("figures") or {}
+                state = "serves" if one.ready else "starts" if one.process and one.process.up else "down"
+                left = [one.name, state, *(str(told.get(name, 0)) for name in ("rpcs", "call_outs", "clients"))]
+            if at < len(self.lab.hosts):
+                host = self.lab.hosts[at]
+                right = [host.name, "yes" if host.listener else "no", str(host.busy), str(host.ran)]
+            table.add_row(*left, *right[:4])
+        return table
+
+
+def answers(lab):
+    """What became of the RPCs so far, in a line."""
+    counts = {}
+    for (_, answer), number in lab.records.counts.items():
+        counts[answer] = counts.get(answer, 0) + number
+    total = sum(counts.values())
+    rest = total - counts.get(OK, 0) - counts.get(PUSHED_BACK, 0)
+    return f"{total} RPCs answered, {counts.get(OK, 0)} ok, {counts.get(PUSHED_BACK, 0)} pushed back, {rest} otherwise"
+
+
+def run(play, shape=None):
+    """Play a run and tell it; gives the exit code."""
+    with Lab(shape or shape_of(play)) as lab:
+        lab.start()
+        lab.records.tell(f"load begins: {play.lab.rate:g} RPCs a second")
+        Stage(lab, play).begin()
+        lab.clients.start()
+        with Watch(lab, play.lab.seconds):
+            lab.play(play.lab.seconds)
+            lab.quiet()
+        verdict = lab.verdict()
+        print(lab.timeline(200))
+        return told(lab, verdict, play.expect.broken)
+
+
+def told(lab, verdict, expected):
+    """The verdict in words; the exit code, 1 where a rule broke that was not to, or a process crashed."""
+    print(answers(lab) + (f", {lab.clients.turned_back} found no gateway" if lab.clients.turned_back else ""))
+    if lab.clients.waits:
+        waits = sorted(took for took, _ in lab.clients.waits)
+        p50, p99 = (waits[int(len(waits) * part)] for part in (0.5, 0.99))
+        print(f"answers after {p50:.3f} s at the median, {p99:.3f} s for 99 of 100, from intended times")
+    for broken in verdict.broken:
+        print(f"{broken.at:8.3f} rule {broken.rule} is broken: {broken.text}")
+    for name, code, said in lab.crashes:
+        print(f"{name} crashed ({code}): {said}")
+    for fault in lab.faults[:3]:
+        print(f"a fault of the lab: {fault}")
+    as_expected = sorted(verdict.counts) == sorted(expected)
+    print("no rule broken" if not verdict.counts else f"broken: {', '.join(sorted(verdict.counts))}"
+          + (", as expected" if as_expected else ""))
+    return 0 if as_expected and not lab.crashes and not lab.faults else 1
+
+
+def play_file(path):
+    """Play a run file; gives the exit code. Raises play.PlayError."""
+    return run(load(path))
+
+
+def demo():
+    """Three gateways, six hosts, 20 s of load, one host killed half way; gives the exit code."""
+    print("three gateways, six hosts, a counter and discovery, on loopback; host h2 is killed half way")
+    return run(DEMO, Shape(rate=DEMO.lab.rate))
--- /dev/null
+++ b/petrellane/lab/records.py
@@ -0,0 +1,106 @@
+"""What every party of a run saw, in the order of one clock, handed to the referee as it comes.
+
+Gateways write no records: what one sent is what hosts got, what it answered is what clients read. A call-out that never
+reached a host is not seen. Under which settings a gateway admits is told by what it lets through: a method that one
+generation alone has proves that generation.
+
+What is seen within `SETTLE` seconds is put in the order in which it must have happened: a gateway closes the connection of
+one call-out before it sends the next of the same RPC, but two sockets may tell it the other way round.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+from petrellane import referee
+
+SETTLE = 0.05
+MOST = 50_000    # RPCs remembered after their end
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """One call-out, as its host saw it come."""
+    rpc: str
+    number: int
+    host: str
+    gateway: str | None
+    key: str | None = None
+    over: bool = False
+
+
+class Records:
+    """Records of one run, and its referee. `proves` maps a method to the number of the one generation that has it."""
+
+    def __init__(self, terms, clock, keep=20_000):
+        self.referee, self.clock, self.began = referee.Referee(terms), clock, clock()
+        self.open, self.kept, self.most = {}, deque(maxlen=keep), keep
+        self.pending = deque()    # records that are still put in order
+        self.counts, self.told, self.proves = {}, [], {}
+
+    def now(self):
+        """Seconds since the run began."""
+        return self.clock() - self.began
+
+    def take(self, record):
+        self.pending.append(record)
+        while self.pending and self.pending[0].at < self.now() - SETTLE:
+            self.judge(self.pending.popleft())
+
+    def judge(self, record):
+        self.referee.take(record)
+        self.kept.append(record)
+
+    def tell(self, text):
+        """A line of the time line."""
+        self.told.append((self.now(), text))
+
+    def taken(self, rpc, gateway, customer, plan, method, units, patience):
+        if len(self.open) > MOST:
+            for old in list(self.open)[:MOST // 2]:
+                del self.open[old]
+        self.open[rpc] = [gateway, 0, method, self.now()]
+        self.take(referee.Taken(self.now(), gateway, rpc, customer, plan, method, units, self.now() + patience))
+
+    def sent(self, rpc, host, work, key=None):
+        """A call-out has reached a host."""
+        told = self.open.get(rpc)
+        if told is None:
+            return Call(rpc, 0, host, None, key, True)
+        gateway, number, method, since = told
+        told[1] += 1
+        self.take(referee.Sent(self.now(), gateway, rpc, number, host))
+        self.take(referee.Received(self.now(), gateway, rpc, number, host, work))
+        if method in self.proves and not number:
+            self.take(referee.Admitted(self.now(), gateway, rpc, self.proves[method], since))
+        return Call(rpc, number, host, gateway, key)
+
+    def ended(self, call, outcome):
+        """A call-out is over at its host: answered, turned away, or given up by the gateway."""
+        if call.over:
+            return
+        call.over = True
+        record = referee.Ended(self.now(), call.gateway, call.rpc, call.number, outcome)
+        for at, other in enumerate(self.pending):
+            if isinstance(other, referee.Sent) and other.rpc == call.rpc and other.number > call.number:
+                self.pending.insert(at, record._replace(at=other.at))
+                return
+        self.take(record)
+
+    def ran(self, call):
+        self.take(referee.Ran(self.now(), call.rpc, call.host))
+
+    def answered(self, rpc, answer, method):
+        told = self.open.get(rpc)
+        self.counts[method, answer] = self.counts.get((method, answer), 0) + 1
+        if told is not None:
+            self.take(referee.Answered(self.now(), told[0], rpc, answer))
+
+    def forget(self, gateway):
+        """A gateway was killed: it owes nothing."""
+        self.take(referee.Life(self.now(), gateway, "killed"))
+        self.open = {rpc: told for rpc, told in self.open.items() if told[0] != gateway}
+
+    def close(self):
+        """The verdict, up to now."""
+        while self.pending:
+            self.judge(self.pending.popleft())
+        return self.referee.close(self.now())
--- a/petrellane/referee.py
+++ b/petrellane/referee.py
@@ -15,7 +15,9 @@
   now, times the span, plus a slack for chance; the rule breaks when two thirds of it came from gateways told of its start.
 - ceilings: a store for each customer, filled at the plan's rate, never drawn below minus its slack by first call-outs.
 
-A sixth judgement is no rule of the operators but of ours: what is over is forgotten.
+Two further judgements are no rules of the operators but of ours: what is over is forgotten; and no RPC is admitted under
+settings that are not in force: none under a generation that was not decided, and none that came later than the bound after
+another was admitted under a later generation.
 """
 
 from collections import deque
@@ -26,6 +28,7 @@
 IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
 PROVEN = frozenset(("full", "unreachable", "never-sent"))    # outcomes that prove that a call-out never ran
 LOST, TWICE, DRAINS, COLD, CEILINGS, FORGOTTEN = "lost", "twice", "drains", "cold", "ceilings", "forgotten"
+AGREED = "agreed"
 RULES = (LOST, TWICE, DRAINS, COLD, CEILINGS)
 READY = "ready"
 
@@ -123,6 +126,22 @@
     count: int
 
 
+class Admitted(NamedTuple):
+    """An RPC that its client sent at `since` has been admitted, as only the generation `number` allows."""
+    at: float
+    gateway: Any
+    rpc: Any
+    number: int
+    since: float
+
+
+class Decided(NamedTuple):
+    """What became of a generation: whether it was ever to be in force."""
+    at: float
+    number: int
+    committed: bool
+
+
 class Broken(NamedTuple):
     """One break of a rule: how it shows, in one line, and the RPCs that it is about."""
     rule: str
@@ -160,6 +179,7 @@
     multiple: float = 2.0
     overload_for: float = 1.5
     cold_largest: float = 3.0    # what chance may bring, in multiples of the largest call-out of the span
+    agreed: float = 0.5    # after an admission under a generation, for what comes under an earlier one
     most_breaks: int = 20    # breaks kept of each rule; more are counted
 
 
@@ -205,11 +225,12 @@
         self.open, self.by_gateway = {}, {}
         self.paused, self.told, self.cold, self.stores = {}, {}, {}, {}
         self.runs = {}    # RPC -> (effect, where it ran), for those that must not run twice; kept to the end
+        self.admitted, self.decided, self.latest = {}, {}, (0, 0.0)    # by generation: the first; and the latest of all
         self.broken, self.counts = [], {}
         self.nearest = dict.fromkeys(RULES, 0.0)
         self.hear = {Taken: self.taken, Sent: self.sent, Ended: self.ended, Received: self.received, Ran: self.ran,
                      Answered: self.answered, Left: self.left, Told: self.hears, Life: self.life, Up: self.up,
-                     Remains: self.remains}
+                     Remains: self.remains, Admitted: self.admits, Decided: self.decides}
 
     def take(self, record) -> None:
         """Judge one record."""
@@ -372,6 +393,20 @@
             self.breaks(COLD, told.at, f"{told.host}, up for {told.at - cold.up:.2f} s, had {work:.2f} core seconds of "
                                        f"work in {terms.overload_for:g} s, {budget:.2f} at most", told.rpc)
 
+    # settings
+
+    def admits(self, told):
+        latest, since = self.latest
+        if told.number > latest:
+            self.latest = told.number, told.at
+        elif told.number < latest and told.since > since + self.terms.agreed:
+            self.breaks(AGREED, told.at, f"{told.gateway} admitted RPC {told.rpc}, which came {told.since - since:.3f} s "
+                                         f"after generation {latest} was in force, under generation {told.number}", told.rpc)
+        self.admitted.setdefault(told.number, told)
+
+    def decides(self, told):
+        self.decided[told.number] = told.committed
+
     # gateways
 
     def life(self, told):
@@ -400,4 +435,8 @@
             if seen.owed and not seen.answers and at > seen.due and seen.taken.gateway not in self.paused:
                 rpc, gateway = seen.taken.rpc, seen.taken.gateway
                 self.breaks(LOST, seen.due, f"{gateway} took RPC {rpc} and gave no final answer", rpc)
+        for number, first in self.admitted.items():
+            if not self.decided.get(number, True):
+                self.breaks(AGREED, first.at, f"{first.gateway} admitted RPC {first.rpc} under generation {number}, which "
+                                              "was never in force", first.rpc)
         return Verdict(self.broken, dict(self.counts), dict(self.nearest))
--- /dev/null
+++ b/tests/lab/cases.py
@@ -0,0 +1,632 @@
+"""Agreement among real processes, with faults between them. What a gateway admits is told by the methods that it lets
+through: `before` is of generation 1 alone, `after` of generation 2 alone."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import unittest
+
+from petrellane import referee
+from petrellane.lab import play
+from petrellane.lab.clients import Customer, Method
+from petrellane.lab.fleet import Lab, Shape, settings
+from petrellane.lab.relay import Relay
+from petrellane.lab.standins import StandIn
+from petrellane.net.scheduler import Scheduler
+from petrellane.net.stream import Stream
+
+BEFORE, AFTER = ("before",), ("after",)
+LOAD = [Method("look", 0.3), Method("lodge", 0.1, "deduplicated"), Method("post", 0.1, "non-idempotent"),
+        Method("before", 0.25), Method("after", 0.25)]
+
+
+@contextlib.contextmanager
+def fleet(gateways=3, rate=150.0, plants=None, control_plant=None, **more):
+    """A fleet under load that has generation 1 in force; `plants` maps a gateway's number to a plant."""
+    shape = Shape(gateways=gateways, agreement=True, rate=rate, methods=LOAD, proves={"before": 1, "after": 2},
+                  settings=settings(gateways), work=0.004, **more)
+    with Lab(shape) as lab:
+        for number, plant in (plants or {}).items():
+            plant_in(lab.gateways[number], plant)
+        lab.start(controls=())
+        lab.controls["control"] = control = control_of(lab, "control", control_plant)
+        control.start()
+        lab.until(lambda: control.ask("status").get("state") == "leading", "a control process that leads")
+        told = lab.change(first(lab))
+        assert told["outcome"] == "committed", told
+        lab.clients.start()
+        lab.play(0.3)
+        yield lab
+
+
+def first(lab):
+    return settings(lab.shape.gateways, more=BEFORE)
+
+
+def second(lab):
+    return settings(lab.shape.gateways, more=AFTER)
+
+
+def control_of(lab, name, plant=None, step="", **more):
+    from petrellane.lab.fleet import Control
+    control = Control(lab, name, **more)
+    if plant:
+        plant_in(control, plant, step)
+    return control
+
+
+def plant_in(party, plant, step=""):
+    party.build, party.environ = {"module": "tests.lab.planted"}, {"LAB_PLANT": plant, "LAB_STEP": step}
+
+
+class Judged(unittest.TestCase):
+    """What every run is asked at its end."""
+
+    def judge(self, lab, broken=(), crashes=0):
+        lab.quiet()
+        verdict = lab.verdict()
+        self.assertEqual(sorted(verdict.counts), sorted(broken), f"{verdict.broken[:3]}\n{lab.timeline()}")
+        self.assertEqual(len(lab.crashes), crashes, lab.crashes)
+        self.assertFalse(lab.faults, lab.faults[:2])
+        return verdict
+
+    def settles(self, lab, number, patience=10.0):
+        lab.until(lambda: lab.agreed() == number, f"generation {number} everywhere", patience)
+
+    def admits(self, lab, seconds=0.5):
+        """The probing methods that gateways let through from now on."""
+        before = dict(lab.records.counts)
+        lab.play(seconds)
+        return {name for name in ("before", "after")
+                if lab.records.counts.get((name, "ok"), 0) > before.get((name, "ok"), 0)}
+
+
+class Changes(Judged):
+
+    def test_a_change_without_a_fault_pushes_nothing_back(self):
+        with fleet() as lab:
+            self.assertEqual(self.admits(lab), {"before"})
+            self.assertEqual(lab.change(second(lab))["reached"], 3)
+            self.assertEqual(self.admits(lab), {"after"})
+            self.judge(lab)
+            self.assertFalse([kind for kind in lab.records.counts if kind[1] == referee.PUSHED_BACK])
+
+    def doubt(self, plant=None):
+        """Three of seven are cut off between the decision and its word, and healed later."""
+        with fleet(7, plants=dict.fromkeys(range(7), plant) if plant else None) as lab:
+            control, names = lab.controls["control"], ["g4", "g5", "g6"]
+            for relay in lab.between("agent", to=names, of=["control"]):
+                relay.fault("late", 0.15)
+            number = control.ask("propose", settings=second(lab))["number"]
+            lab.until(lambda: control.events[-1].get("number") == number, "a decision")
+            lab.cut(names)
+            self.settled = lab.until(lambda: lab.agreed(["g0", "g1", "g2", "g3"]) == number, "a majority in force")
+            allowed = self.admits(lab, 1.0)
+            in_doubt = [one.last("generation")["possible"] for one in lab.gateways[4:]]
+            lab.heal()
+            self.settles(lab, number, 4.0)
+            lab.quiet()
+            verdict = lab.verdict()
+            return verdict.counts, allowed, in_doubt
+
+    def test_who_is_cut_off_in_doubt_admits_what_both_allow(self):
+        counts, allowed, in_doubt = self.doubt()
+        self.assertEqual((counts, allowed, in_doubt), ({}, {"after"}, [[2], [2], [2]]))
+
+    def test_without_the_meet_that_breaks(self):
+        self.assertIn("agreed", self.doubt("no_meet")[0])
+
+    def absent(self, plant=None, old=True):
+        """One is down for the whole change and starts later with its old file, cut off from the control process."""
+        with fleet(4, plants={3: plant} if plant else None) as lab:
+            late = lab.gateways[3]
+            late.kill()
+            told = lab.change(second(lab))
+            self.assertEqual((told["outcome"], told["absent"], told["owed"]), ("committed", ["g3"], []))
+            lab.play(0.7)
+            for relay in lab.between("agent", to=["g3"], of=["control"]):
+                relay.fault("cut")
+            if old:    # a new machine: not even its memory is left
+                for name in os.listdir(os.path.join(late.folder, "state")):
+                    os.unlink(os.path.join(late.folder, "state", name))
+            late.start()
+            lab.until(lambda: late.ready, "g3 serves")
+            lab.play(1.0)
+            found = lab.agreed(["g3"])
+            lab.heal()
+            lab.quiet()
+            return lab.verdict().counts, found
+
+    def test_who_was_down_asks_before_it_serves(self):
+        self.assertEqual(self.absent(), ({}, 2))
+
+    def test_without_asking_that_breaks(self):
+        self.assertIn("agreed", self.absent("knows_at_once", old=False)[0])
+
+    def test_who_hears_of_too_few_does_not_serve(self):
+        with fleet(5) as lab:
+            late = lab.gateways[4]
+            late.kill()
+            lab.cut(["g4"])
+            late.start()
+            lab.play(2.0)
+            self.assertFalse(late.ready)
+            lab.heal()
+            lab.until(lambda: late.ready, "g4 serves")
+            self.judge(lab)
+
+    def stopped(self, plant=None):
+        """One is stopped from before the prepare to after the decision, and goes on with RPCs in its socket buffers; staff
+        vouched that it had ended."""
+        with fleet(4, plants={3: plant} if plant else None, rate=300.0) as lab:
+            lab.cut(["g3"])    # or it would be told within a second
+            lab.gateways[3].stop()
+            lab.play(0.3)
+            told = lab.change(second(lab), without=["g3"])
+            self.assertEqual(told["outcome"], "committed", told)
+            lab.play(0.8)
+            lab.gateways[3].go_on()
+            lab.play(1.0)
+            pushed = sum(number for (_, answer), number in lab.records.counts.items() if answer == referee.PUSHED_BACK)
+            lab.heal()
+            self.settles(lab, 2)
+            lab.quiet()
+            return lab.verdict().counts, pushed
+
+    def test_who_was_stopped_meanwhile_admits_nothing_before_it_knows(self):
+        counts, pushed = self.stopped()
+        self.assertEqual(counts, {})
+        self.assertGreater(pushed, 0)    # what waited there is answered at once
+
+    def test_without_the_fence_that_breaks(self):
+        self.assertIn("agreed", self.stopped("never_stood_still")[0])
+
+    def silent(self, plant=None):
+        """One says nothing all along: it may be serving."""
+        with fleet(4, control_plant=plant) as lab:
+            lab.cut(["g3"])
+            control = lab.controls["control"]
+            number = control.ask("propose", settings=second(lab))["number"]
+
+            def over():
+                told = control.ask("change", number=number)
+                return told if told["outcome"] != "preparing" else None
+            told = lab.until(over, "an end")
+            lab.play(1.2)
+            allowed = self.admits(lab, 0.8)
+            lab.heal()
+            lab.play(1.5)
+            lab.quiet()
+            return told["outcome"], told["why"], allowed, lab.agreed(), lab.verdict().counts
+
+    def test_a_silent_gateway_ends_the_change(self):
+        outcome, why, allowed, number, counts = self.silent()
+        self.assertEqual((outcome, allowed, number, counts), ("aborted", {"before"}, 1, {}))
+        self.assertIn("no word from g3", why)
+
+    def test_where_silent_counts_as_down_that_breaks(self):
+        self.assertIn("agreed", self.silent("silent_is_absent")[4])
+
+    def test_where_a_majority_is_enough_that_breaks(self):
+        self.assertIn("agreed", self.silent("majority_is_enough")[4])
+
+    def test_answers_lost_requests_arriving(self):
+        with fleet() as lab:
+            relays = lab.between("agent", of=["control"])
+            for relay in relays:
+                relay.fault("mute")
+            told = lab.change(second(lab))
+            self.assertEqual(told["outcome"], "aborted")
+            self.assertEqual(self.admits(lab, 0.4), set())    # all in doubt: what both allow
+            lab.heal()
+            self.settles(lab, 1)
+            self.assertEqual(self.admits(lab), {"before"})
+            self.judge(lab)
+
+    def test_a_refusal_by_an_older_build(self):
+        with fleet(plants={1: "refuses"}) as lab:
+            told = lab.change(settings(3, more=("before", "x", "y")))
+            self.assertEqual((told["outcome"], told["why"]),
+                             ("aborted", "refused by g1: settings.classes: expected three at most"))
+            self.settles(lab, 1)
+            self.judge(lab)
+
+    def test_clocks_and_memory_that_can_not_be_written(self):
+        with fleet() as lab:
+            lab.gateways[1].kill()
+            lab.gateways[1].skew = 2.0
+            lab.gateways[1].start()
+            lab.until(lambda: lab.gateways[1].ready, "g1 serves with its clock off")
+            folder = os.path.join(lab.gateways[2].folder, "state")
+            os.rename(folder, folder + ".away")
+            told = lab.change(second(lab))
+            self.assertEqual(told["outcome"], "aborted")
+            self.assertIn("refused by g2", told["why"])
+            os.rename(folder + ".away", folder)
+            lab.records.proves["after"] = 3
+            self.assertEqual(lab.change(second(lab))["reached"], 3)
+            self.judge(lab)
+
+    def by_hand(self, plant=None):
+        with fleet(plants=dict.fromkeys(range(3), plant) if plant else None) as lab:
+            one = lab.gateways[0]
+            one.write({**one.told(), "settings": {**settings(3, more=AFTER), "locality": "z"}})
+            one.process.signal(signal.SIGHUP)
+            lab.until(lambda: one.last("reloaded"), "the file is read")
+            allowed = self.admits(lab)
+            lab.quiet()
+            lab.verdict()
+            return allowed, one.last("drift")
+
+    def test_a_file_by_hand_is_told_as_drift(self):
+        allowed, drift = self.by_hand()
+        self.assertEqual(allowed, {"before"})
+        self.assertIn("method before: gone", drift["lines"])
+
+    def test_without_that_a_file_by_hand_is_taken(self):
+        self.assertEqual(self.by_hand("takes_the_file")[0], {"before", "after"})
+
+    def test_a_process_that_follows_has_the_generation(self):
+        with fleet(follow=True) as lab:
+            lab.gateways[0].replace()
+            self.assertEqual(lab.change(second(lab))["reached"], 3)
+            lab.play(0.5)
+            self.assertEqual(self.admits(lab), {"after"})
+            self.judge(lab)
+
+    def test_a_drained_gateway_takes_part(self):
+        with fleet() as lab:
+            one = lab.gateways[1]
+            lab.fronts[1].taken_in = False
+            staff(one, "drain")
+            self.assertEqual(lab.change(second(lab))["reached"], 3)
+            staff(one, "resume")
+            lab.fronts[1].taken_in = True
+            self.assertEqual(self.admits(lab), {"after"})
+            self.judge(lab)
+
+    def test_a_roster_with_one_too_few_and_one_too_many(self):
+        with fleet(4) as lab:
+            control = lab.controls["control"]
+            control.kill()
+            ways = {one.name: one.managed("control") for one in lab.gateways[:3]}
+            control.roster = ways | {"ghost": "%s:%d" % (lab.ip, lab.port())}
+            control.start()
+            lab.until(lambda: control.ask("status").get("state") == "leading", "it leads again")
+            told = lab.change(second(lab))    # g3 is a member of what is in force: it is asked all the same
+            self.assertEqual(told["outcome"], "aborted")
+            self.assertIn("g3 (no address in the roster)", told["why"])
+            lab.gateways[3].kill()    # it is taken off for good, by staff's word
+            lab.records.proves["after"] = 3
+            told = lab.change(second(lab), without=["g3"])
+            self.assertEqual((told["outcome"], told["absent"]), ("committed", ["ghost"]))
+            lab.gateways[3].start()
+            lab.until(lambda: lab.gateways[3].last("not_on_roster"), "g3 is told that it is no member")
+            self.assertFalse(lab.gateways[3].ready)
+            self.judge(lab)
+
+
+class Ceilings(Judged):
+
+    def test_a_ceiling_is_lowered_everywhere_with_the_counter_down(self):
+        old, new = (settings(3, quota=400.0, ceiling=ceiling) for ceiling in (60.0, 20.0))
+        shape = Shape(gateways=3, agreement=True, rate=150.0, settings=old, work=0.002,
+                      customers=[Customer(7, "sold", spread=3)])
+        with Lab(shape) as lab:
+            lab.start()
+            lab.clients.start()
+            lab.play(1.5)
+            lab.counter.quiet = True
+            lab.play(0.5)
+            self.assertEqual(lab.change(new)["outcome"], "committed")
+            lab.play(1.0)
+            lab.records.referee.terms.ceilings["sold"] = referee.Ceiling(20.0, 20.0, 2.0 + 0.15 * 20)
+            level, at = lab.records.referee.stores["%016x" % 7]
+            lab.records.referee.stores["%016x" % 7] = min(level, 20.0), at
+            began, ok = lab.records.now(), self.ok(lab)
+            lab.play(3.0)
+            served = (self.ok(lab) - ok) / (lab.records.now() - began)
+            self.judge(lab)
+            self.assertLess(served, 22.0)
+
+    @staticmethod
+    def ok(lab):
+        return sum(number for (_, answer), number in lab.records.counts.items() if answer == "ok")
+
+
+class Kills(Judged):
+    """Whoever is killed at any step, another control process brings all to one generation."""
+
+    def control_killed(self, step, empty=False):
+        with fleet() as lab:
+            old = lab.controls["control"]
+            old.kill()
+            dying = lab.controls["control"] = control_of(lab, "control", "steps", step, journal=old.journal)
+            dying.start()
+            if not step.startswith("epoch"):
+                lab.until(lambda: dying.ask("status").get("state") == "leading", "it leads")
+                dying.ask("propose", settings=second(lab))
+            lab.until(lambda: not dying.process.up, "it ends at its step")
+            lab.crashes.clear()    # that one was meant
+            lab.play(0.7)
+            serving = self.admits(lab, 0.6)
+            journal = {"journal": os.path.join(lab.folder, "empty.db") if empty else old.journal}
+            heir = lab.controls["control"] = control_of(lab, "heir", **journal)
+            heir.start()
+            lab.until(lambda: heir.ask("status").get("settled"), "the next one leads", 15)
+            status = heir.ask("status")
+            self.settles(lab, status["in_force"]["number"])
+            allowed = self.admits(lab)
+            lab.quiet()
+            committed = {1: True, 2: "after" in allowed}
+            for number, decided in committed.items():
+                lab.records.take(referee.Decided(lab.records.now(), number, decided))
+            verdict = lab.records.close()
+            self.assertEqual(verdict.counts, {}, f"{step}: {verdict.broken[:2]}\n{lab.timeline()}")
+            return serving, allowed
+
+    def test_before_and_after_each_step(self):
+        for step, meanwhile, then in (
+                ("epoch before", {"before"}, {"before"}), ("epoch after", {"before"}, {"before"}),
+                ("proposed before", {"before"}, {"before"}), ("proposed after", {"before"}, {"before"}),
+                ("decided before", set(), {"before"}), ("decided after", set(), {"after"})):
+            with self.subTest(step):
+                self.assertEqual(self.control_killed(step), (meanwhile, then))
+
+    def test_with_an_empty_journal(self):
+        for step in ("decided before", "decided after"):    # nobody can tell: the settings in force come again
+            with self.subTest(step):
+                self.assertEqual(self.control_killed(step, empty=True), (set(), {"before"}))
+
+    def test_a_gateway_killed_at_each_write(self):
+        for step in ("2 before", "2 after", "3 before", "3 after"):    # 1: at its start, 2: the prepare, 3: the commit
+            with self.subTest(step), fleet() as lab:
+                one = lab.gateways[2]
+                one.kill()
+                plant_in(one, "saved", step)
+                one.start()
+                lab.until(lambda one=one: one.ready, "g2 serves")
+                lab.play(1.2)    # its memory was written at the start, and the epoch is an old one
+                number = lab.controls["control"].ask("propose", settings=second(lab))["number"]
+                lab.until(lambda one=one: not one.process.up, "it ends at its write")
+                lab.records.forget("g2")
+                lab.crashes.clear()
+                one.build, one.environ = {}, {}
+                one.start()
+                control = lab.controls["control"]
+                told = lab.until(lambda number=number, control=control: lab.ended(control, number), "an end of the change")
+                self.assertIn(told["outcome"], ("committed", "aborted"))
+                self.settles(lab, 2 if told["outcome"] == "committed" else 1)
+                self.judge(lab)
+
+    def test_two_control_processes_at_once(self):
+        with fleet() as lab:
+            other = lab.controls["other"] = control_of(lab, "other")
+            other.start()
+            lab.until(lambda: other.ask("status").get("state") == "leading", "the other leads")
+            lab.until(lambda: lab.controls["control"].ask("status").get("state") == "deposed", "the first is deposed")
+            self.assertIn("refused", lab.controls["control"].ask("propose", settings=first(lab)))
+            number = other.ask("propose", settings=second(lab))["number"]
+            self.assertEqual(lab.until(lambda: lab.ended(other, number), "an end")["outcome"], "committed")
+            self.judge(lab)
+
+
+class Staff(Judged):
+    """The command line, and who calls without a key."""
+
+    def called(self, lab, *words, **environ):
+        ended = []
+        process = subprocess.Popen([sys.executable, "-m", "petrellane", "settings", *words], stdout=subprocess.PIPE,
+                                   stderr=subprocess.STDOUT, env={**os.environ, **environ}, text=True)
+        lab.until(lambda: process.poll() is not None, f"settings {words[0]} ends", 20)
+        ended.append(process.stdout.read())
+        process.stdout.close()
+        return process.returncode, ended[0].strip()
+
+    def test_exit_codes_and_words(self):
+        with fleet() as lab:
+            control = ["--control", lab.controls["control"].file]
+            file = os.path.join(lab.folder, "new.json")
+
+            def write(told):
+                with open(file, "w") as out:
+                    json.dump(told, out)
+            write({"settings": second(lab)})
+            code, said = self.called(lab, "propose", file, *control)
+            self.assertEqual((code, said), (0, "generation 2: in force at 3 of 3"))
+            wrong = second(lab)
+            wrong["classes"][0]["giveUp"] = 0
+            write(wrong)
+            code, said = self.called(lab, "propose", file, *control)
+            self.assertEqual((code, said), (2, "refused: settings.classes[0].giveUp: expected a number above 0, found 0"))
+            write({"classes": second(lab)["classes"]})
+            self.assertEqual(self.called(lab, "propose", file, *control),
+                             (2, "refused: settings.contracts: missing, expected a list of objects"))
+            self.assertEqual(self.called(lab, "diff", "1", "2", *control)[1].splitlines()[0],
+                             "method after: new, effect idempotent, deadline 2 s, soft deadline 1 s, utility 1")
+            code, said = self.called(lab, "back", "1", *control, "--json")
+            self.assertEqual((code, json.loads(said)["number"], json.loads(said)["outcome"]), (0, 3, "committed"))
+            self.assertEqual(len(self.called(lab, "history", *control)[1].splitlines()), 3)
+            self.assertIn("generation 3", self.called(lab, "status", *control)[1])
+            self.assertEqual(self.called(lab, "show", "9", *control)[0], 2)
+            lab.gateways[1].stop()
+            write(second(lab))
+            code, said = self.called(lab, "propose", file, *control)
+            self.assertEqual((code, said[:44]), (4, "generation 4: aborted: no word from g1 (noth"))
+            lab.gateways[1].go_on()
+            lab.controls["control"].kill()
+            self.assertEqual(self.called(lab, "propose", file, *control)[0], 5)
+            with open(os.path.join(lab.folder, "bad.toml"), "w") as out:
+                out.write('name = "c"\nlisten = "127.0.0.1:1"\njournal = "j"\nkey_file = "key"\n[gateways]\n'
+                          'g0 = "127.0.0.1:1"\ng1 = "127.0.0.1:1"\n')
+            code, said = self.called(lab, "status", "--control", out.name)
+            self.assertEqual((code, said),
+                             (2, "petrellane: gateways.g1: expected an address of its own, found that of g0"))
+
+    def test_who_has_no_key_changes_nothing(self):
+        with fleet(1) as lab:
+            one = lab.gateways[0]
+            for body, seal, status in ((b'{"do":"promise","epoch_of":[9,"x"],"to":"g0"}', "0" * 64, 401), (b"{", "", 401)):
+                head = (f"POST /-/agreement HTTP/1.1\r\nContent-Length: {len(body)}\r\nPetrellane-Seal: {seal}\r\n\r\n")
+                self.assertEqual(status_of(one, lab, head.encode() + body), status)
+            self.assertEqual(status_of(one, lab, b"POST /-/agreement HTTP/1.1\r\n\r\n"), 411)
+            self.assertEqual(status_of(one, lab, b"POST /-/agreement HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n"), 413)
+            self.assertEqual(status_of(one, lab, b"GET /-/agreement HTTP/1.1\r\n\r\n"), 405)
+            self.assertEqual(lab.controls["control"].ask("status")["gateways"]["g0"]["state"], "in force")
+
+
+def status_of(gateway, lab, data):
+    """The status that a gateway's management answers some bytes with."""
+    with socket.create_connection((lab.ip, gateway.management), 2) as sock:
+        sock.sendall(data)
+        sock.setblocking(False)
+        found = []
+
+        def answered():
+            with contextlib.suppress(BlockingIOError):
+                found.append(sock.recv(4096))
+            return found
+        lab.until(answered, "an answer of staff's listener")
+    return int(found[0].split(b" ")[1])
+
+
+def staff(gateway, call):
+    assert status_of(gateway, gateway.lab, f"POST /-/{call} HTTP/1.1\r\n\r\n".encode()) == 200
+
+
+class Echo(StandIn):
+
+    def serve(self, stream):
+        while True:
+            stream.fill()
+            stream.write(bytes(stream.buffer))
+            stream.buffer.clear()
+
+
+class Relays(unittest.TestCase):
+    """Each fault does what it says, seen from both ends."""
+
+    def setUp(self):
+        self.scheduler = Scheduler()
+        self.echo = Echo(self.scheduler)
+        self.relay = Relay(self.scheduler, self.echo.address)
+        self.addCleanup(self.echo.close)
+        self.addCleanup(self.relay.close)
+
+    def run_for(self, call, patience=5.0):
+        """Run a call in a greenlet to its end; what it gave."""
+        told = []
+
+        def run():
+            told.append(call())
+        self.scheduler.spawn(run)
+        until = time.monotonic() + patience
+        while not told and time.monotonic() < until:
+            self.scheduler.turn(10)
+        return told[0]
+
+    def dial(self):
+        from petrellane.lab.standins import LIMITS
+        return Stream.dial(self.scheduler, LIMITS, self.relay.address, 0.3)
+
+    def ask(self, stream, text=b"hello", patience=0.3):
+        stream.write(text)
+        try:
+            while len(stream.buffer) < len(text or b"hello"):
+                stream.fill(patience)
+        except Exception as error:
+            return type(error).__name__, bytes(stream.buffer)
+        found = bytes(stream.buffer)
+        stream.buffer.clear()
+        return found
+
+    def test_faults(self):
+        def play():
+            stream = self.dial()
+            said = [self.ask(stream)]
+            self.relay.fault("cut")
+            said.append(self.ask(stream))
+            self.relay.heal()
+            said.append(self.ask(stream, b""))    # it was held, not lost
+            self.relay.fault("late", 0.1)
+            began = self.scheduler.monotonic()
+            said.append((self.ask(stream, patience=1.0), self.scheduler.monotonic() - began > 0.2))
+            self.relay.heal()
+            self.relay.fault("half", 3)
+            said.append(self.ask(stream))
+            self.relay.heal()
+            self.relay.fault("reset")
+            said.append(self.ask(stream)[0])
+            for fault in ("mute", "deaf"):
+                stream = self.dial()
+                self.relay.fault(fault)
+                said.append(self.ask(stream))
+                self.relay.heal()
+                said.append(self.ask(stream)[0])
+            for fault in ("refuse", "hang"):
+                self.relay.fault(fault)
+                try:
+                    self.dial()
+                except OSError as error:
+                    said.append(type(error).__name__)
+                self.relay.heal()
+            self.relay.fault("lossy", 1.0)
+            said.append(self.ask(self.dial()))
+            self.relay.heal()
+            return said + [self.ask(self.dial())]
+        self.assertEqual(self.run_for(play), [
+            b"hello", ("TimeoutError", b""), b"hello", (b"hello", True), ("TimeoutError", b"hel"), "Closed",
+            ("TimeoutError", b""), "Closed", ("TimeoutError", b""), "Closed", "ConnectionRefusedError", "TimeoutError",
+            ("TimeoutError", b""), b"hello"])
+
+
+class Runs(unittest.TestCase):
+    """Run files, and that nothing is left of a run."""
+
+    def test_what_is_out_of_form_is_named(self):
+        for text, words in (("[lab]\ngateways = 0", "lab.gateways: expected 1 to 300, found 0"),
+                            ("[lab]\nspeed = 1", "unknown field `speed`"),
+                            ("[[step]]\nat = 1.0\ndo = \"x\"", "step[0].do: expected one of"),
+                            ("[[step]]\nat = 99.0\ndo = \"cut\"", "step[0].at: expected 0 to 10"),
+                            ("[[step]]\nat = 1.0\ndo = \"kill\"\nwho = [\"g7\"]", "step[0].who: expected g0 to g2"),
+                            ("[lab", "Expected ']'"), ("[expect]\nbroken = [\"x\"]", "expect.broken: expected rules")):
+            with self.subTest(text), self.assertRaises(play.PlayError) as found:
+                play.read(text, "run.toml")
+            self.assertIn(words, str(found.exception))
+            self.assertNotIn("\n", str(found.exception))
+
+    def test_a_run_file_from_the_command_line(self):
+        file = os.path.join(os.path.dirname(__file__), "runs", "change-under-faults.toml")
+        ended = subprocess.run([sys.executable, "-m", "petrellane", "lab", "run", file], capture_output=True, text=True,
+                               timeout=60)
+        self.assertEqual(ended.returncode, 0, ended.stdout + ended.stderr)
+        self.assertIn("no rule broken", ended.stdout)
+        self.assertIn('g0: generation {"number":1', ended.stdout)
+
+    def test_nothing_is_left_of_a_lab_that_is_killed(self):
+        code = ("import os\nfrom petrellane.lab.fleet import Lab, Shape\nlab = Lab(Shape(gateways=2, hosts=1))\n"
+                "lab.start()\nprint(*[one.process.process.pid for one in lab.gateways], flush=True)\n"
+                "os.kill(os.getpid(), 9)\n")
+        ended = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
+        numbers = list(map(int, ended.stdout.split()))
+        self.assertEqual(len(numbers), 2, ended.stderr)
+        until = time.monotonic() + 5
+        while any(map(alive, numbers)) and time.monotonic() < until:
+            time.sleep(0.02)
+        self.assertFalse([number for number in numbers if alive(number)])
+
+
+def alive(number):
+    try:
+        with open(f"/proc/{number}/stat") as file:
+            return file.read().rsplit(")", 1)[1].split()[0] != "Z"
+    except OSError:
+        return False
+
+
+CASES = [Changes, Ceilings, Kills, Staff, Relays, Runs]
--- /dev/null
+++ b/tests/lab/planted.py
@@ -0,0 +1,94 @@
+"""Runs the command line with a guard taken out, named by LAB_PLANT: each test of many processes is seen to fail then."""
+
+import os
+
+from petrellane.agreement import leader, member
+
+
+def steps():
+    """End in the write to the journal that LAB_STEP names (kind, and before or after it lasts)."""
+    from petrellane.agreement.journal import Journal
+    kind, when = os.environ["LAB_STEP"].split()
+    note = Journal.note
+
+    def planted(self, record, at):
+        if when == "after":
+            note(self, record, at)
+        if record["kind"] == kind:
+            os._exit(9)
+        if when == "before":
+            note(self, record, at)
+    Journal.note = planted
+
+
+def saved():
+    """A gateway that ends in the n-th write of its memory (LAB_STEP: number, and before or after it lasts)."""
+    from petrellane.agreement.store import Store
+    number, when = os.environ["LAB_STEP"].split()
+    save, count = Store.save, []
+
+    def planted(self, state):
+        count.append(None)
+        if when == "after":
+            save(self, state)
+        if len(count) == int(number):
+            os._exit(9)
+        if when == "before":
+            save(self, state)
+    Store.save = planted
+
+
+def knows_at_once():
+    """A gateway that starts serves by its own file."""
+    member.enough = lambda members, heard, self_known: True
+
+
+def never_stood_still():
+    """A gateway that was stopped goes on as if nothing had been."""
+    member.FENCE = 1e9
+
+
+def no_meet():
+    """A gateway in doubt admits by what was in force before."""
+    member.admitted = lambda state: state.in_force.content
+
+
+def silent_is_absent():
+    """A gateway that says nothing counts as down."""
+    leader.Leader.silent = lambda self, name, message, now, why="": self.refused(name, message, now)
+
+
+def majority_is_enough():
+    """A change is decided once a majority has prepared it."""
+    judge = leader.Leader.judge
+
+    def planted(self, now):
+        change = self.change
+        if change and sum(said == "prepared" for said in change.replies.values()) >= leader.majority(change.needed):
+            self.decide(leader.COMMITTED, "", now)
+        else:
+            judge(self, now)
+    leader.Leader.judge = planted
+
+
+def refuses():
+    """A gateway of an older build, which does not know what it is told."""
+    from petrellane.gateway.node import Node
+    takes = Node.takes
+
+    def planted(self, content):
+        return "settings.classes: expected three at most" if len(content["classes"]) > 4 else takes(self, content)
+    Node.takes = planted
+
+
+def takes_the_file():
+    """SIGHUP puts in force whatever the file says."""
+    from petrellane.agreement.agent import Agent
+    Agent.drifts = lambda self, settings: True
+
+
+if __name__ == "__main__":
+    if os.environ.get("LAB_PLANT"):
+        globals()[os.environ["LAB_PLANT"]]()
+    from petrellane.cli import app
+    app()
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -5,11 +5,14 @@
 import pathlib
 import random
 import re
+import subprocess
 import sys
 import unittest
 
 from petrellane import interface as api
 from petrellane.choice import Gateway
+from tests.agreement.cases import CASES as AGREEMENT
+from tests.lab.cases import CASES as PROCESSES
 from tests.model.cases import BadScenario, Judged, Model
 from tests.operation.cases import Calls, Settings, States, Succession, Waiting
 from tests.operation.longs import Longs
@@ -267,15 +270,36 @@
         setattr(case, "test_" + scenario.stem.replace("-", "_"), test_of(scenario, scene, seeds))
 
 
-def main():
-    """Run all scenarios and close with the plain line that counts them."""
+GROUPS = {
+    "gateway": [Scenarios, Sockets, States, Calls, Succession, Settings, Waiting, Upgrades, Longs, Model, BadScenario,
+                Judged],
+    "agreement": AGREEMENT, "processes": PROCESSES}
+
+
+def play_group(name):
+    """Run one group of tests and close with the plain line that counts them."""
     load = unittest.defaultTestLoader.loadTestsFromTestCase
-    cases = [Scenarios, Sockets, States, Calls, Succession, Settings, Waiting, Upgrades, Longs, Model, BadScenario, Judged]
-    result = unittest.TextTestRunner(verbosity=1).run(unittest.TestSuite(map(load, cases)))
+    result = unittest.TextTestRunner(verbosity=1).run(unittest.TestSuite(map(load, GROUPS[name])))
     failed = len(result.failures) + len(result.errors)
-    print(f"{result.testsRun - failed} passed, {failed} failed")
+    print(f"{name}: {result.testsRun - failed} passed, {failed} failed")
     return 1 if failed or not result.testsRun else 0
 
 
+def main():
+    """Run the groups side by side, a process each, tell each whole, and close with the line that counts all."""
+    if len(sys.argv) > 1:
+        return play_group(sys.argv[1])
+    running = {name: subprocess.Popen([sys.executable, "-m", "tests.runner", name], stdout=subprocess.PIPE,
+                                      stderr=subprocess.STDOUT, text=True) for name in GROUPS}
+    passed = failed = 0
+    for name, process in running.items():
+        said, _ = process.communicate()
+        print(said, end="")
+        found = re.search(rf"^{name}: (\d+) passed, (\d+) failed$", said, re.MULTILINE)
+        passed, failed = passed + int(found[1] if found else 0), failed + int(found[2] if found else 1)
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed or not passed else 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
