--- a/petrellane/agreement/agent.py
+++ b/petrellane/agreement/agent.py
@@ -10,6 +10,7 @@
 import select
 import socket
 import threading
+import time
 from functools import partial
 
 import greenlet
@@ -34,12 +35,17 @@
         self.settings, self.takes, self.adopt, self.chance = settings, takes, adopt, chance
         self.store, self.remembers, self.writable = Store(told.state, name), True, True
         self.state = State(Generation(FIRST, digest(settings), policy(settings), tuple(told.members)))
-        self.standing = Standing(name, told.members, False, scheduler.monotonic())
+        self.standing = Standing(name, told.members, False, self.clock())
         self.part = False          # we answer and ask: this process is the gateway
         self.begin = None
         self.asking = self.over = self.busy = False
         self.announced = self.drifted = None
 
+    @staticmethod
+    def clock():
+        """A steady clock that goes on while the machine is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     # Life.
 
     def load(self):
@@ -48,7 +54,7 @@
         self.remembers = found is not None and why is None
         if why:
             self.log.event("agreement_unreadable", error=why)
-        if found:
+        if found and self.writable and found.in_force.ballot >= self.state.in_force.ballot:    # never back to an earlier one
             self.state = found if found.in_force.number else self.state._replace(
                 promised=found.promised, possible=found.possible, denied=found.denied)
         if self.bound():
@@ -66,7 +72,7 @@
 
     def anew(self):
         """Know nothing, and ask."""
-        self.standing = Standing(self.name, self.members(), self.remembers, self.scheduler.monotonic())
+        self.standing = Standing(self.name, self.members(), self.remembers, self.clock())
         self.knows()
         self.ask()
 
@@ -198,16 +204,17 @@
 
     def admits(self):
         """Whether an RPC that is here now may be admitted."""
-        if self.standing.admits(self.scheduler.monotonic()):
+        if self.standing.admits(self.clock()):
             return True
         self.look()
         return self.standing.known
 
     def look(self):
         """Told often: whether we stood still so long that others may have gone on without us."""
-        if self.standing.look(self.scheduler.monotonic()) and self.part:
+        if self.standing.look(self.clock()) and self.part:
             self.log.event("stood_still", known=self.standing.known)
-            self.load()    # a process that took our place may have written there
+            if not self.busy:
+                self.load()    # a process that took our place may have written there
             self.ask()
 
     def ask(self):
--- a/petrellane/agreement/control.py
+++ b/petrellane/agreement/control.py
@@ -27,6 +27,7 @@
 
     PATIENCE = 0.6     # seconds that a gateway may take to answer
     TICK = 0.05        # between looks at what time alone brings
+    FRESH = 60.0       # seconds that a call of staff may be old, by their clock, and is not taken twice in
 
     def __init__(self, config, log_descriptor=1, scheduler=None, limits=None):
         self.config, self.scheduler = config, scheduler or Scheduler()
@@ -36,6 +37,7 @@
         self.journal = Journal(config.journal)
         self.leader = Leader(config.name, config.members, self.journal, self.scheduler.now(), self.journal.records())
         self.calls, self.told, self.parked, self.complained = {}, None, {}, 0.0
+        self.nonces = {}    # of the last calls: one that was listened to must do nothing when it is said again
         self.desk = Management(self.scheduler, self.limits, Service(0.0, 0.0), lambda: None, lambda trouble: None)
         self.desk.desks[seal.STAFF] = self.heard
         self.desk.listen(config.listen)
@@ -165,6 +167,7 @@
         asked = fields.get(seal.FIELD, b"")
         try:
             message = seal.understood(self.config.key, "control", asked, body)
+            self.once(message)
         except seal.Unsealed as error:
             return 401, b'{"refused":"seal"}', {"Petrellane-Why": str(error)}
         except ValueError:
@@ -173,6 +176,13 @@
         body, own = seal.answer(self.config.key, asked, told)
         return status, body, {seal.FIELD.decode(): own.decode()}
 
+    def once(self, message):
+        """Raise Unsealed for a call that is old, or that has come before."""
+        now, at, nonce = self.scheduler.now(), message.get("at"), str(message.get("nonce"))
+        if not isinstance(at, (int, float)) or abs(now - at) > self.FRESH or nonce in self.nonces:
+            raise seal.Unsealed(f"at: expected a new call of the last {self.FRESH:g} s, by a clock that is about right")
+        self.nonces = {one: until for one, until in self.nonces.items() if until > now} | {nonce: now + 2 * self.FRESH}
+
     def obeyed(self, message):
         """What staff asked, carried out: the status and what is told."""
         do, number = message.get("do"), message.get("number")
--- a/petrellane/agreement/leader.py
+++ b/petrellane/agreement/leader.py
@@ -72,7 +72,7 @@
         self.name, self.members, self.journal = name, tuple(members), journal
         self.state, self.why = SEEKING, ""
         self.in_force = None            # the generation, once it is known
-        self.seen, self.seen_at, self.asked_at = {}, {}, {}
+        self.seen, self.asked_at = {}, {}
         self.promised, self.down, self.fault = set(), {}, {}
         self.unknown = set()            # ballots that may have been decided before us, which are neither told nor denied
         self.whole = set()              # members that are to be told what is in force with its content
@@ -186,7 +186,7 @@
         except ValueError as error:
             self.silent(name, message, now, f"answers out of form: {error}")
             return
-        self.seen[name], self.seen_at[name] = learnt, now
+        self.seen[name] = learnt
         self.whole.discard(name)
         self.top = max([self.top, learnt.in_force.number, *(one.number for one in learnt.possible)])
         self.promised.add(name)
@@ -400,8 +400,3 @@
                 return "another content under this number", number
             return "in doubt" if seen.possible else "in force", number
         return "behind", number
-
-    def reached(self):
-        """The members that have what is in force."""
-        return [name for name in self.everyone() if name in self.seen and self.in_force
-                and self.seen[name].in_force == self.in_force.ballot]
--- a/petrellane/agreement/seal.py
+++ b/petrellane/agreement/seal.py
@@ -1,12 +1,14 @@
 """Who says it: messages between gateways and control processes carry a seal under a key that all of them hold.
 
-A seal is HMAC-SHA256 (RFC 2104) in hex. That of a question covers whom it is for and its body, which holds a nonce; that of
-an answer covers the question's seal, so that an answer to one can't be passed off as one to another.
+A seal is HMAC-SHA256 (RFC 2104) in hex. That of a question covers its body, which says whom it is for, when it was asked,
+and a nonce; that of an answer covers the question's seal, so that an answer to one can't be passed off as one to another. A
+question to a gateway that is said again has the same result; a control process takes one of staff once.
 """
 
 import hashlib
 import hmac
 import secrets
+import time
 
 import orjson
 
@@ -27,7 +29,7 @@
 
 def question(key, message):
     """A message's body and seal; its `to` says whom it is for."""
-    body = orjson.dumps(message | {"nonce": secrets.token_hex(8)})
+    body = orjson.dumps(message | {"nonce": secrets.token_hex(8), "at": time.time()})
     return body, sealed(key, b"question", body)
 
 
--- a/petrellane/cli.py
+++ b/petrellane/cli.py
@@ -104,7 +104,7 @@
     except (ConfigError, JournalError) as error:
         refuse(error)
     except OSError as error:
-        refuse(f"listen: expected an address to listen at: {error}")
+        refuse(f"{file}: expected an address to listen at and a journal to write: {error}")
     process.obey({signal.SIGTERM, signal.SIGINT})
     process.run()
 
--- a/tests/agreement/world.py
+++ b/tests/agreement/world.py
@@ -220,7 +220,7 @@
             fleet.leaders[name] = other = copy.copy(leads)
             if leads:
                 other.journal = fleet.journals[name]
-                for field in ("seen", "seen_at", "asked_at", "down", "fault", "decided"):
+                for field in ("seen", "asked_at", "down", "fault", "decided"):
                     setattr(other, field, dict(getattr(leads, field)))
                 other.promised, other.whole = set(leads.promised), set(leads.whole)
                 other.unknown = set(leads.unknown)
--- a/tests/lab/cases.py
+++ b/tests/lab/cases.py
@@ -10,8 +10,10 @@
 import sys
 import time
 import unittest
+import unittest.mock
 
 from petrellane import referee
+from petrellane.agreement import seal
 from petrellane.lab import play
 from petrellane.lab.clients import Customer, Method
 from petrellane.lab.fleet import Lab, Shape, settings
@@ -252,6 +254,24 @@
             self.assertEqual(lab.change(second(lab))["reached"], 3)
             self.judge(lab)
 
+    def test_what_was_learnt_without_a_folder_is_kept(self):
+        """A gateway that can't write learns from others all the same, and standing still takes it no step back."""
+        with fleet() as lab:
+            one = lab.gateways[2]
+            one.kill()
+            self.assertEqual(lab.change(second(lab))["absent"], ["g2"])
+            plant_in(one, "unwritable")
+            one.start()
+            lab.until(lambda: one.ready, "g2 serves")
+            self.assertEqual(lab.agreed(["g2"]), 2)
+            one.stop()
+            lab.play(1.3)
+            one.go_on()
+            self.assertEqual(self.admits(lab, 1.0), {"after"})
+            numbers = [event["number"] for event in one.events if event["event"] == "generation"]
+            self.assertEqual(numbers[numbers.index(2):], [2])    # never back to the first
+            self.judge(lab)
+
     def by_hand(self, plant=None):
         with fleet(plants=dict.fromkeys(range(3), plant) if plant else None) as lab:
             one = lab.gateways[0]
@@ -471,18 +491,27 @@
     def test_who_has_no_key_changes_nothing(self):
         with fleet(1) as lab:
             one = lab.gateways[0]
-            for body, seal, status in ((b'{"do":"promise","epoch_of":[9,"x"],"to":"g0"}', "0" * 64, 401), (b"{", "", 401)):
-                head = (f"POST /-/agreement HTTP/1.1\r\nContent-Length: {len(body)}\r\nPetrellane-Seal: {seal}\r\n\r\n")
+            for body, mark, status in ((b'{"do":"promise","epoch_of":[9,"x"],"to":"g0"}', "0" * 64, 401), (b"{", "", 401)):
+                head = (f"POST /-/agreement HTTP/1.1\r\nContent-Length: {len(body)}\r\nPetrellane-Seal: {mark}\r\n\r\n")
                 self.assertEqual(status_of(one, lab, head.encode() + body), status)
             self.assertEqual(status_of(one, lab, b"POST /-/agreement HTTP/1.1\r\n\r\n"), 411)
             self.assertEqual(status_of(one, lab, b"POST /-/agreement HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n"), 413)
             self.assertEqual(status_of(one, lab, b"GET /-/agreement HTTP/1.1\r\n\r\n"), 405)
-            self.assertEqual(lab.controls["control"].ask("status")["gateways"]["g0"]["state"], "in force")
-
-
-def status_of(gateway, lab, data):
-    """The status that a gateway's management answers some bytes with."""
-    with socket.create_connection((lab.ip, gateway.management), 2) as sock:
+            control = lab.controls["control"]
+            self.assertEqual(control.ask("status")["gateways"]["g0"]["state"], "in force")
+            for age, statuses in ((0.0, (200, 401)), (100.0, (401, 401))):    # staff's call counts once, and while it is new
+                with unittest.mock.patch("time.time", lambda true=time.time, age=age: true() - age):
+                    body, own = seal.question(lab.key, {"do": "history", "to": "control"})
+                head = (f"POST /-/settings HTTP/1.1\r\nContent-Length: {len(body)}\r\n"
+                        f"Petrellane-Seal: {own.decode()}\r\n\r\n")
+                for status in statuses:
+                    self.assertEqual(status_of(control, lab, head.encode() + body), status)
+
+
+def status_of(party, lab, data):
+    """The status that a gateway's management, or a control process, answers some bytes with."""
+    port = party.management if party in lab.gateways else party.listen
+    with socket.create_connection((lab.ip, port), 2) as sock:
         sock.sendall(data)
         sock.setblocking(False)
         found = []
--- a/tests/lab/planted.py
+++ b/tests/lab/planted.py
@@ -38,6 +38,15 @@
     Store.save = planted
 
 
+def unwritable():
+    """A gateway whose disk is full."""
+    from petrellane.agreement.store import Store
+
+    def planted(self, state):
+        raise OSError(28, "No space left on device")
+    Store.save = planted
+
+
 def knows_at_once():
     """A gateway that starts serves by its own file."""
     member.enough = lambda members, heard, self_known: True
