Two more hard cases on processes: open RPCs of a dropped method, control and gateway killed together

Change: RPCs that are out at slow hosts while their method is dropped are all answered ok; a gateway that is killed with the control process right after a decision starts again without one, from what the others know, and ends at the generation that was decided.

--- a/tests/lab/cases.py
+++ b/tests/lab/cases.py
@@ -98,6 +98,19 @@
             self.judge(lab)
             self.assertFalse([kind for kind in lab.records.counts if kind[1] == referee.PUSHED_BACK])
 
+    def test_open_rpcs_keep_the_method_that_is_dropped(self):
+        with fleet(rate=60.0) as lab:
+            for host in lab.hosts:
+                host.slow = 60.0
+            lab.play(0.5)
+            lab.clients.stop()
+            before, out = dict(lab.records.counts), lab.clients.out
+            self.assertGreater(out, 5)
+            self.assertEqual(lab.change(second(lab))["reached"], 3)
+            self.judge(lab)
+            after = {kind: number - before.get(kind, 0) for kind, number in lab.records.counts.items()}
+            self.assertEqual({answer for (method, answer), number in after.items() if number and method == "before"}, {"ok"})
+
     def doubt(self, plant=None):
         """Three of seven are cut off between the decision and its word, and healed later."""
         with fleet(7, plants=dict.fromkeys(range(7), plant) if plant else None) as lab:
@@ -424,6 +437,21 @@
                 self.settles(lab, 2 if told["outcome"] == "committed" else 1)
                 self.judge(lab)
 
+    def test_the_control_process_and_a_gateway_killed_together(self):
+        with fleet() as lab:
+            control, one = lab.controls["control"], lab.gateways[2]
+            number = control.ask("propose", settings=second(lab))["number"]
+            lab.until(lambda: control.events[-1].get("number") == number, "a decision")
+            control.kill()
+            one.kill()
+            one.start()    # it asks the other two, of which each may be in doubt or not
+            lab.until(lambda: one.ready, "g2 serves without a control process")
+            lab.play(0.5)
+            control.start()
+            lab.until(lambda: control.ask("status").get("settled"), "it leads again")
+            self.settles(lab, number)
+            self.judge(lab)
+
     def test_two_control_processes_at_once(self):
         with fleet() as lab:
             other = lab.controls["other"] = control_of(lab, "other")
