--- a/petrellane/agreement/agent.py
+++ b/petrellane/agreement/agent.py
@@ -215,6 +215,12 @@
 
     def rounds(self):
         """Ask others for as long as we don't know what is in force, or whether what is possible was decided."""
+        try:
+            self.until_known()
+        finally:
+            self.asking = False
+
+    def until_known(self):
         outside = False
         with self.turn():
             self.remember(self.state)    # whether the folder can be written shows now, not in the first change
@@ -232,7 +238,6 @@
             self.round(names[:self.IN_DOUBT] if self.standing.known else names)
             if not self.standing.known:
                 self.scheduler.wait(member.ASK * (0.5 + self.chance()))
-        self.asking = False
 
     def round(self, names):
         """Ask these, a few side by side, until we know."""
@@ -240,9 +245,11 @@
         knew = self.standing.known
 
         def some():
-            while left and (knew or not self.standing.known) and self.part:
-                self.learn_from(left.pop())
-            busy.pop()
+            try:
+                while left and (knew or not self.standing.known) and self.part:
+                    self.learn_from(left.pop())
+            finally:
+                busy.pop()
         for _ in range(min(self.SIDE_BY_SIDE, len(left))):
             busy.append(None)
             self.scheduler.spawn(some)
@@ -251,6 +258,8 @@
 
     def learn_from(self, name):
         """Ask one gateway, and take up what it knows and we do not."""
+        self.look()
+        standing, since = self.standing, self.standing.since
         for address in self.told.members[name]:
             try:
                 call = partial(post.ask, self.scheduler, self.limits, self.told.key, address, seal.PATH)
@@ -273,7 +282,8 @@
             except Refusal as refusal:
                 self.log.event("agreement_refused", do="learn", gateway_asked=name, error=refusal.text)
                 return
-            self.standing.told(name)
+            self.look()    # an answer may have lain here while we stood still
+            standing.told(name, since)
             self.knows()
             return
 
--- a/petrellane/agreement/member.py
+++ b/petrellane/agreement/member.py
@@ -210,6 +210,7 @@
     def __init__(self, name, members, remembers, now):
         self.name, self.remembers = name, remembers
         self.heard, self.looked, self.known = set(), now, False
+        self.since = 0    # times that it stood still: what was asked before says nothing after
         self.of(members)
 
     def of(self, members):
@@ -220,16 +221,18 @@
         elif enough(self.members, self.heard, self.remembers):
             self.known = True
 
-    def told(self, name):
-        """Another gateway has answered, and all that it told is remembered here."""
-        self.heard.add(name)
-        self.of(self.members)
+    def told(self, name, since):
+        """Another gateway has answered what was asked at `since`, and all that it told is remembered here. An answer that
+        lay here while we stood still may be older than what others did meanwhile."""
+        if since == self.since:
+            self.heard.add(name)
+            self.of(self.members)
 
     def look(self, now):
         """Told often. True where this gateway stood still for so long that others may have gone on without it."""
         still, self.looked = now - self.looked > FENCE, max(now, self.looked)
         if still:
-            self.heard, self.known = set(), False
+            self.heard, self.known, self.since = set(), False, self.since + 1
             self.of(self.members)
         return still
 
--- a/tests/agreement/cases.py
+++ b/tests/agreement/cases.py
@@ -146,14 +146,17 @@
     def test_who_stood_still_asks_again(self):
         standing = member.Standing("g0", ("g0", "g1", "g2"), True, 0.0)
         self.assertFalse(standing.admits(0.1))
-        standing.told("g1")
+        standing.told("g1", 0)
         self.assertTrue(standing.admits(0.1))
         self.assertFalse(standing.admits(0.1 + member.FENCE))    # seen before anything else is told
         self.assertTrue(standing.look(0.1 + member.FENCE))
         self.assertFalse(standing.known)
+        standing.told("g1", 0)    # an answer to what was asked before
+        self.assertFalse(standing.known)
+        standing.told("g1", standing.since)
+        self.assertTrue(standing.known)
         standing.of(("g1", "g2"))
-        standing.told("g1")
-        standing.told("g2")
+        standing.told("g2", standing.since)
         self.assertFalse(standing.known)    # no member: nobody tells it of changes
 
 
--- a/tests/agreement/world.py
+++ b/tests/agreement/world.py
@@ -56,7 +56,7 @@
         learnt = member.learnt_of(other.hear({"do": "state"}))
         fetched = [other.state.holds(ballot) for ballot in member.missing(self.state, learnt)]
         self.state = member.learn(self.state, learnt, fetched, lambda content: None)
-        self.standing.told(other.name)
+        self.standing.told(other.name, self.standing.since)
 
     def admits(self):
         """The ballots of which all allow what is admitted here; None where nothing is admitted."""
