The rig waits for its relays too before the load begins

Seen: a demo from a fresh clone told that 4 RPCs found no gateway: a relay looks for its target's listener every 10 ms, and the load began before. Change: Lab.start waits until every relay listens.

--- a/petrellane/lab/fleet.py
+++ b/petrellane/lab/fleet.py
@@ -387,7 +387,8 @@
             self.controls[name] = Control(self, name)
             self.controls[name].start()
         if ready:
-            self.until(lambda: all(one.ready for one in self.gateways), "all gateways ready", 20 + len(self.gateways) / 5)
+            self.until(lambda: all(one.ready for one in self.gateways) and all(
+                relay.listener for relay in self.relays.values()), "all gateways ready", 20 + len(self.gateways) / 5)
             for control in self.controls.values():
                 self.until(lambda control=control: any(one["event"] == "leading" for one in control.events),
                            f"{control.name} leads", 20 + len(self.gateways) / 5)
