How even load is over hosts: figures, petrellane spread, and other ways to choose beside ours

Need: two hundred gateways that each see little can herd on a host or leave one idle, and nothing told so.

Change: petrellane/spread (figures free of I/O, defined in one place; sources: records and logs; words: table, JSON, SVG), gateways log call-outs by host where their file asks for it (off in run), petrellane/model/baselines.py with ten other ways to choose behind the module's interface, petrellane/model/thin.py with fleets of many thinly fed gateways, benchmarks/spread.py for the model and for hundreds of processes.

--- /dev/null
+++ b/benchmarks/spread.py
@@ -0,0 +1,152 @@
+"""How even load is over hosts: the module beside other ways to choose, in the model, and hundreds of real gateways.
+
+    python benchmarks/spread.py model [--gateways 200] [--hosts 100] [--loads 0.5,0.8,0.95] [--seeds 5] [--patience 8]
+    python benchmarks/spread.py processes [--gateways 200] [--hosts 60] [--load 0.5] [--seconds 40] [--rate 400]
+
+`model` prints a row for each way and load, medians over seeds with the least and the most; times are multiples of the mean
+work. `processes` starts so many gateways on loopback, hosts that are stand-ins, and faults in turn: a host that comes back
+empty, one ten times as slow, one that answers errors at once, one that is silent, all gateways' list late; it prints the
+figures of each part and what the machine had to give. One JSON line last.
+"""
+
+import argparse
+import concurrent.futures
+import json
+import os
+import statistics
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+from benchmarks.agreement import memory  # noqa: E402
+from petrellane.choice import Gateway  # noqa: E402
+from petrellane.lab.fleet import Lab, Shape  # noqa: E402
+from petrellane.model import thin  # noqa: E402
+from petrellane.model.baselines import BASELINES  # noqa: E402
+from petrellane.model.fleet import Fleet  # noqa: E402
+from petrellane.spread import sources  # noqa: E402
+from petrellane.spread.figures import figures  # noqa: E402
+
+WARM = 5.0    # seconds of a run that are left out
+WAYS = ("module", *BASELINES)
+
+
+def play(who, gateways, hosts, load, patience, rate, seed, length):
+    """The figures of one run of the model."""
+    scenario = thin.thin(gateways, hosts, load, seed, rate, length, patience)
+    run = Fleet(scenario, BASELINES.get(who, Gateway), keep=True).play()
+    served, work = thin.served(run, WARM), scenario.methods[0].work
+    found = figures(sources.of_records(run.records, WARM, length))
+    five = next(one for one in found.spans if one.seconds == 5.0)
+    return {"who": who, "load": load, "seed": seed, "pushed": served.pushed, "late": served.late, "ok": served.ok,
+            "p50": served.p50 / work, "p99": served.p99 / work, "excess": five.excess, "peak": five.peak,
+            "trough": five.trough, "herd": found.herd, "herd_by_chance": found.herd_by_chance, "idle": len(found.idle),
+            "broken": run.broken}
+
+
+def middle(rows, name):
+    values = [row[name] for row in rows]
+    return f"{statistics.median(values):.3f} ({min(values):.3f}-{max(values):.3f})"
+
+
+def model(told):
+    """All ways at all loads over the seeds, side by side on the cores."""
+    loads, seeds = list(map(float, told.loads.split(","))), range(1, told.seeds + 1)
+    ways = told.ways.split(",") if told.ways else WAYS
+    jobs = [(who, told.gateways, told.hosts, load, told.patience, told.rate, seed, told.seconds)
+            for load in loads for who in ways for seed in seeds]
+    with concurrent.futures.ProcessPoolExecutor(told.jobs or None) as pool:
+        rows = list(pool.map(play, *zip(*jobs, strict=True)))
+    shown = ("pushed", "late", "p50", "p99", "excess", "trough", "herd")
+    print(f"{'load':>4} {'way':18} " + " ".join(f"{name:>21}" for name in shown) + "  idle broken")
+    for load in loads:
+        for who in ways:
+            mine = [row for row in rows if (row["who"], row["load"]) == (who, load)]
+            print(f"{load:4g} {who:18} " + " ".join(f"{middle(mine, name):>21}" for name in shown)
+                  + f"  {max(row['idle'] for row in mine):4} {sum(len(row['broken']) for row in mine)}", flush=True)
+    return rows
+
+
+def processes(told):
+    """Real gateways, with faults at hosts in turn; a row for each part of the run."""
+    slots = 2
+    work = told.load * told.hosts * slots / told.rate
+    shape = Shape(gateways=told.gateways, hosts=told.hosts, relays=(), rate=told.rate, work=work, slots=slots, queue=64)
+    rows, part = [], told.seconds / 5
+    with Lab(shape) as lab:
+        began = time.monotonic()
+        lab.start()
+        up = time.monotonic() - began
+        lab.clients.start()
+        lab.play(WARM)
+        spent = sum(memory(one.process)[1] for one in lab.gateways)
+
+        def measure(name, seconds):
+            since, waits, counts = lab.records.now(), len(lab.clients.waits), dict(lab.records.counts)
+            lab.play(seconds)
+            found = figures(sources.of_records(lab.records.kept, since, lab.records.now()))
+            took = sorted(one for one, answer in lab.clients.waits[waits:] if answer == "ok")
+            answers = {}
+            for (_, answer), number in lab.records.counts.items():
+                answers[answer] = answers.get(answer, 0) + number
+            for (_, answer), number in counts.items():
+                answers[answer] -= number
+            rows.append({"part": name, "answers": answers, "p50": took[len(took) // 2] / work,
+                         "p99": took[int(len(took) * 0.99)] / work, "spans": [one._asdict() for one in found.spans],
+                         "excess": {one.seconds: one.excess for one in found.spans}, "herd": found.herd,
+                         "herd_by_chance": found.herd_by_chance, "idle": [one._asdict() for one in found.idle]})
+            row, excess = rows[-1], ", ".join(f"{one.seconds:g} s {one.excess:.2f}" for one in found.spans)
+            print(f"{name:26} p50 {row['p50']:.2f} p99 {row['p99']:.2f}  excess {excess}  herd {found.herd:.2f} "
+                  f"({found.herd_by_chance:.2f})  idle {len(found.idle)}  {answers}", flush=True)
+
+        measure("no fault", part)
+        back, slow, failing, silent = lab.hosts[:4]
+        back.down()
+        lab.discovery.put(back.name, back.text, "terminated")
+        lab.play(1.0)
+        back.start()
+        lab.discovery.put(back.name, back.text, since=back.started)
+        before, all_before = back.ran, sum(host.ran for host in lab.hosts)
+        measure("one comes back", part)
+        rows[-1]["back_over_its_part"] = (back.ran - before) * told.hosts / max(1, sum(
+            host.ran for host in lab.hosts) - all_before)
+        slow.slow = 10.0
+        measure("one ten times as slow", part)
+        slow.slow, failing.share = 1.0, 1.0
+        failing.slow = 0.1
+        measure("one answers errors at once", part)
+        failing.share, failing.slow, silent.silent = 0.0, 1.0, True
+        measure("one is silent", part)
+        silent.silent = False
+        silent.work()
+        told_of = [memory(one.process) for one in lab.gateways]
+        lab.quiet(10.0)
+        verdict = lab.verdict()
+        machine = {"up_s": round(up, 1), "mb_each": round(statistics.median(size for size, _ in told_of) / 2 ** 20, 1),
+                   "mb_all": round(sum(size for size, _ in told_of) / 2 ** 20),
+                   "cores": round((sum(cpu for _, cpu in told_of) - spent) / told.seconds, 2),
+                   "rig_stood_still_s": round(lab.scheduler.longest, 3), "broken": verdict.counts,
+                   "crashes": len(lab.crashes), "void": lab.void}
+        print(machine)
+    return rows, machine
+
+
+def main():
+    words = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    words.add_argument("what", choices=("model", "processes"))
+    for name, value, kind in (("gateways", 200, int), ("hosts", 0, int), ("loads", "0.5,0.8,0.95", str), ("seeds", 5, int),
+                              ("patience", 8.0, float), ("rate", 0.0, float), ("seconds", 0.0, float), ("load", 0.5, float),
+                              ("ways", "", str), ("jobs", 0, int)):
+        words.add_argument("--" + name, type=kind, default=value)
+    told = words.parse_args()
+    if told.what == "model":
+        told.hosts, told.rate, told.seconds = told.hosts or 100, told.rate or 1000.0, told.seconds or 20.0
+        print(json.dumps(model(told)))
+    else:
+        told.hosts, told.rate, told.seconds = told.hosts or 60, told.rate or 400.0, told.seconds or 40.0
+        print(json.dumps(processes(told)))
+
+
+if __name__ == "__main__":
+    main()
--- a/petrellane/cli.py
+++ b/petrellane/cli.py
@@ -73,16 +73,35 @@
     file: Annotated[str, typer.Argument(help="A scenario file, or the number of a seed with --seed.")],
     seed: Annotated[bool, typer.Option("--seed", help="Play the scenario that this seed draws.")] = False,
     write: Annotated[str, typer.Option(help="Write the scenario to this file.")] = "",
+    records: Annotated[str, typer.Option(help="Write what was seen to this file, for `spread`.")] = "",
 ):
     """Play one scenario of the fleet model and tell it as a time line; exit code 1 when it is not as expected."""
     from petrellane.model import command
     from petrellane.model.scenario import ScenarioError
     try:
-        raise typer.Exit(command.replay(file, seed, write))
+        raise typer.Exit(command.replay(file, seed, write, records))
     except ScenarioError as error:
         refuse(error)
 
 
+@app.command()
+def spread(
+    path: Annotated[str, typer.Argument(help="A file of records, or a folder of gateways' logs.")],
+    since: Annotated[float, typer.Option(min=0.0, help="Seconds from the begin to leave out.")] = 0.0,
+    until: Annotated[float, typer.Option(min=0.0, help="Seconds up to which to look; 0 is the end.")] = 0.0,
+    json: Annotated[bool, typer.Option("--json", help="One JSON object in place of a table.")] = False,
+    svg: Annotated[str, typer.Option(help="Write a heat map of hosts over time to this file.")] = "",
+    seed: Annotated[int, typer.Option(help="Of the draws that tell what chance gives.")] = 0,
+):
+    """How even load is over hosts: peaks, troughs, idle hosts, herds and swings; docs/spread.md defines them."""
+    from petrellane.spread import words
+    from petrellane.spread.sources import SpreadError
+    try:
+        words.tell(path, since, until or None, json, svg, seed)
+    except SpreadError as error:
+        refuse(error)
+
+
 settings_app = typer.Typer(help="Settings that take hold at every gateway or at none, through a control process.",
                            no_args_is_help=True, add_completion=False, rich_markup_mode=None)
 app.add_typer(settings_app, name="settings")
@@ -168,12 +187,13 @@
 
 
 @lab_app.command("run")
-def lab_run(file: Annotated[str, typer.Argument(help="A run file; docs/lab.md has the notation.")]):
+def lab_run(file: Annotated[str, typer.Argument(help="A run file; docs/lab.md has the notation.")],
+            records: Annotated[str, typer.Option(help="Write what was seen to this file, for `spread`.")] = ""):
     """Play a run file and tell what happened; exit code 1 when a rule broke or a process crashed."""
     from petrellane.lab import command
     from petrellane.lab.play import PlayError
     try:
-        raise typer.Exit(command.play_file(file))
+        raise typer.Exit(command.play_file(file, records))
     except PlayError as error:
         refuse(error)
 
--- a/petrellane/config.py
+++ b/petrellane/config.py
@@ -324,6 +324,7 @@
     known: HostList
     settings: Settings
     agreement: Agreement | None
+    by_host: bool    # whether figures tell call-outs by host
     raw: dict    # as it was read, but for the host list
 
 
@@ -397,6 +398,7 @@
         name=name, listen=told.address("listen"), discovery=told.address("discovery"),
         listen_fd=listening((environ or {}).get("PROXY_LISTEN_FD")),
         management=management, agreement=agreement(told, name, management),
+        by_host=told.section("figures", {}).flag("hosts"),
         counter=told.address("counter") if set_up.may_count else None, seed=seed,
         memory_mb=limits.number("memory_mb", 192), sockets=limits.whole("sockets", 1024, 64),
         known=host_list(told.section("known", {"index": 0, "snapshot": True, "endpoints": []})), settings=set_up, raw=raw)
--- a/petrellane/gateway/driver.py
+++ b/petrellane/gateway/driver.py
@@ -19,6 +19,7 @@
                                **self.settings.gateway)
         self.customers, self.hosts, self.exchanges = WeakValueDictionary(), {}, {}
         self.ids = {}    # id -> exchange, while it is open
+        self.to = Counter() if config.by_host else None    # call-outs by host since the last figures
         self.tally = Counter()    # what came, went out and was answered since the last figures, by kind
         self.upstream = self.counter = self.handover = self.agent = None    # set before the first event
         self.carriers = {api.CallOut: self.call_out, api.PushBack: self.push_back, api.Abort: self.abort,
@@ -179,6 +180,8 @@
         exchange = self.exchanges.get(step.rpc)
         if exchange:
             self.tally["call_outs"] += 1
+            if self.to is not None:
+                self.to[step.host.address] += 1
             self.upstream.send(exchange, step)
 
     def push_back(self, step):
--- a/petrellane/gateway/node.py
+++ b/petrellane/gateway/node.py
@@ -151,6 +151,8 @@
         tally, self.driver.tally = self.driver.tally, Tally()
         tally.update(self.upstream.tally)
         self.upstream.tally.clear()
+        if self.driver.to is not None:
+            tally["to"], self.driver.to = dict(self.driver.to), Tally()
         if tally:
             self.log.event("figures", **tally, cpu=round(time.process_time(), 3), turn=round(self.scheduler.longest, 3),
                            clients=len(self.server.clients), connections=self.upstream.open,
--- a/petrellane/lab/command.py
+++ b/petrellane/lab/command.py
@@ -9,6 +9,7 @@
 from petrellane.lab.fleet import Lab, Shape
 from petrellane.lab.play import Figures, Play, Stage, Step, load, shape_of
 from petrellane.referee import OK, PUSHED_BACK
+from petrellane.spread import sources
 
 DEMO = Play(lab=Figures(gateways=3, hosts=6, seconds=20.0, rate=120.0),
             step=[Step(at=10.0, do="kill", who=["h2"])])
@@ -71,8 +72,8 @@
     return f"{total} RPCs answered, {counts.get(OK, 0)} ok, {counts.get(PUSHED_BACK, 0)} pushed back, {rest} otherwise"
 
 
-def run(play, shape=None):
-    """Play a run and tell it; gives the exit code."""
+def run(play, shape=None, records=""):
+    """Play a run and tell it, and write its records to a file where one is named; gives the exit code."""
     with Lab(shape or shape_of(play)) as lab:
         lab.start()
         lab.records.tell(f"load begins: {play.lab.rate:g} RPCs a second")
@@ -82,6 +83,8 @@
             lab.play(play.lab.seconds)
             lab.quiet()
         verdict = lab.verdict()
+        if records:
+            sources.write(records, lab.records.kept, lab.records.now())
         print(lab.timeline(200))
         return told(lab, verdict, play.expect.broken)
 
@@ -107,9 +110,9 @@
     return 0 if as_expected and not lab.crashes and not lab.faults and not lab.void else 1
 
 
-def play_file(path):
+def play_file(path, records=""):
     """Play a run file; gives the exit code. Raises play.PlayError."""
-    return run(load(path))
+    return run(load(path), records=records)
 
 
 def demo():
--- a/petrellane/lab/fleet.py
+++ b/petrellane/lab/fleet.py
@@ -96,7 +96,7 @@
                 "seed": "%016x" % (lab.shape.seed * 1000 + self.number),
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                 "known": {"index": 1, "snapshot": True, "endpoints": lab.discovery.seen(self.name)},
-                "settings": {**lab.settings, "locality": "z"}}
+                "figures": {"hosts": True}, "settings": {**lab.settings, "locality": "z"}}
         if lab.shape.agreement:
             told["agreement"] = {"key_file": lab.key_file, "state": os.path.join(self.folder, "state"), "members": {
                 other.name: other.managed(self.name) for other in lab.gateways}}
--- a/petrellane/model/clients.py
+++ b/petrellane/model/clients.py
@@ -68,7 +68,8 @@
         told = rng.choices(fleet.methods_told, self.shares)[0]
         units = rng.randint(1, max(1, self.customer.units))
         self.count += 1
-        call = Call(self, fleet.methods[told.name], units, told.work * rng.uniform(0.5, 1.5) * (0.5 + units / 2),
+        work = told.work * (rng.expovariate(1.0) if fleet.world.exponential else rng.uniform(0.5, 1.5))
+        call = Call(self, fleet.methods[told.name], units, work * (0.5 + units / 2),
                     (self.customer.name, self.count), fleet.heap.now)
         fleet.figures.asked(call)
         self.send(call)
--- a/petrellane/model/command.py
+++ b/petrellane/model/command.py
@@ -12,6 +12,7 @@
 from petrellane.model.scenario import ScenarioError, read, write
 from petrellane.model.timeline import timeline, verdict
 from petrellane.referee import RULES
+from petrellane.spread import sources
 
 
 class Progress:
@@ -84,7 +85,7 @@
     print("\n".join(timeline(run)))
 
 
-def replay(file: str, seed: bool, out: str) -> int:
+def replay(file: str, seed: bool, out: str, records: str = "") -> int:
     """Play a scenario file, or a seed's scenario, and tell it; gives the exit code. Raises ScenarioError."""
     if seed:
         if not file.isdecimal():
@@ -98,6 +99,8 @@
     if out:
         pathlib.Path(out).write_text(write(scenario))
     run = Fleet(scenario, keep=True).play()
+    if records:
+        sources.write(records, run.records, scenario.world.length)
     print("\n".join(timeline(run)))
     print(verdict(run))
     print(", ".join(f"{name} {value:.3f}" if isinstance(value, float) else f"{name} {value}"
--- a/petrellane/model/fleet.py
+++ b/petrellane/model/fleet.py
@@ -147,7 +147,7 @@
         last = max([self.world.length, *(fault.at + fault.length + 0.5 for fault in self.scenario.faults)])
         end = last + max(method.deadline for method in self.scenario.methods) + OVER
         self.heap.run(end)
-        for node in self.living():
+        for node in self.living() if not getattr(self.module, "sees_node", False) else ():
             for kind, count in remains(node).items():
                 self.note(Remains(end, node.name, kind, count))
         return Run(self.scenario, self.referee.close(end), self.figures.summary(), self.records, self.trace)
--- a/petrellane/model/nodes.py
+++ b/petrellane/model/nodes.py
@@ -43,7 +43,8 @@
         self.life, self.alive, self.paused, self.heir = self.life + 1, True, False, None
         self.queue, self.open, self.attempts, self.hosts, self.seen = [], {}, {}, {}, set()
         self.customers, self.stood = {}, None
-        self.gateway = self.fleet.module(seed=self.rng.getrandbits(60), zone=f"z{self.zone}", **self.fleet.settings)
+        more = {"node": self} if getattr(self.fleet.module, "sees_node", False) else {}
+        self.gateway = self.fleet.module(seed=self.rng.getrandbits(60), zone=f"z{self.zone}", **self.fleet.settings, **more)
         self.note(Life, "started")
         self.carry(self.gateway.started(self.clock()))
         self.listed(True, self.fleet.discovery.stale())
--- a/petrellane/model/scenario.py
+++ b/petrellane/model/scenario.py
@@ -38,6 +38,7 @@
     standing: float = 0.7           # share of call-outs that find a connection that stands
     skew: float = 0.0               # clocks of gateways differ by up to this
     notice: float = 1.0             # the front and discovery notice a death up to so late
+    exponential: bool = False       # work is drawn so, not evenly around its mean
     retries: int = 1                # of a client
     patience: float = 1.0           # share of the deadline that a client waits for one try
     counter_parts: int = 1
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -18,6 +18,7 @@
 from tests.operation.longs import Longs
 from tests.operation.upgrades import Upgrades
 from tests.sockets import Net
+from tests.spread.cases import CASES as SPREAD
 
 SETTINGS = dict(zone="z1", counter=True, counter_timeout=0.05, may_cancel=True, max_wait=0.5,
                 cold=10.0, cold_from=0.25, cross_zone=0.0, must_ask=False)
@@ -277,7 +278,7 @@
 GROUPS = {
     "gateway": [Scenarios, Sockets, States, Calls, Succession, Settings, Waiting, Upgrades, Longs, Model, BadScenario,
                 Judged],
-    "agreement": AGREEMENT, "processes": PROCESSES}
+    "agreement": AGREEMENT + SPREAD, "processes": PROCESSES}
 
 
 def play_group(name):
