The rig counts its pauses, and waits two turns before it judges the order of two sockets

Seen: 300 gateways, thirty changes with a tenth down and 5% loss, a third restarted: all committed, 2.13 s at the median, 2.73 s at the 99th, but seven RPCs told as sent after their end and one call-out beside another; 200 gateways on benchmarks/spread.py: one call-out beside another in one run of two, the rig having stood still for 0.13 s.

Cause, as far as checked: Records judged what was older than 0.05 s, and a turn of the rig took up to 0.08 s, so that the end of a call-out that was read in the same turn came after its successor had been judged (a test shows it on Records alone); what was done between turns was not counted as standing still at all. The RPCs of those runs themselves were not followed: no record of them was kept.

Change: a record is judged after 0.05 s and two turns; every pause over 0.05 s is in the time line; what was seen of an RPC is printed with the break that it is about.

--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -91,6 +91,8 @@
                 "looks": round(looks / changes / gateways, 2), "all_calls": asked,
                 "third_restarted": restarted, "pushed_for_the_change": pushed, "answers": counts,
                 "broken": verdict.counts, "first_breaks": [one.text for one in verdict.broken[:4]],
+                "of_the_first": [line for one in verdict.broken[:2] for rpc in one.rpcs for line in lab.records.about(rpc)],
+                "rig_stood_still": [line for _, line in lab.records.told if "stood still" in line][-20:],
                 "crashes": len(lab.crashes), "void": lab.void}
 
 
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -76,6 +76,7 @@
     rows, part = [], told.seconds / 5
     with Lab(shape) as lab:
         began = time.monotonic()
+        lab.records.keep_all()
         lab.start()
         up = time.monotonic() - began
         lab.clients.start()
@@ -126,9 +127,12 @@
         machine = {"up_s": round(up, 1), "mb_each": round(statistics.median(size for size, _ in told_of) / 2 ** 20, 1),
                    "mb_all": round(sum(size for size, _ in told_of) / 2 ** 20),
                    "cores": round((sum(cpu for _, cpu in told_of) - spent) / told.seconds, 2),
-                   "rig_stood_still_s": round(lab.scheduler.longest, 3), "broken": verdict.counts,
+                   "rig_stood_still_s": round(lab.longest, 3), "broken": verdict.counts,
                    "crashes": len(lab.crashes), "void": lab.void}
         print(machine)
+        for broken in verdict.broken[:3]:
+            print(broken.text, *(line for rpc in broken.rpcs for line in lab.records.about(rpc)), sep="\n  ")
+        print(*(f"{at:8.3f} {text}" for at, text in lab.records.told if "still" in text), sep="\n")
     return rows, machine
 
 
--- a/petrellane/lab/clients.py
+++ b/petrellane/lab/clients.py
@@ -55,7 +55,7 @@
         self.waits = []    # seconds that answers took, from the intended time
 
     def start(self):
-        self.on, self.next, self.scheduler.longest = True, self.scheduler.monotonic(), 0.0
+        self.on, self.next = True, self.scheduler.monotonic()
         self.arrive()
 
     def stop(self):
--- a/petrellane/lab/command.py
+++ b/petrellane/lab/command.py
@@ -75,6 +75,8 @@
 def run(play, shape=None, records=""):
     """Play a run and tell it, and write its records to a file where one is named; gives the exit code."""
     with Lab(shape or shape_of(play)) as lab:
+        if records:
+            lab.records.keep_all()
         lab.start()
         lab.records.tell(f"load begins: {play.lab.rate:g} RPCs a second")
         Stage(lab, play).begin()
@@ -98,6 +100,8 @@
         print(f"answers after {p50:.3f} s at the median, {p99:.3f} s for 99 of 100, from intended times")
     for broken in verdict.broken:
         print(f"{broken.at:8.3f} rule {broken.rule} is broken: {broken.text}")
+        for line in [line for rpc in broken.rpcs for line in lab.records.about(rpc)]:
+            print(f"      {line}")
     for name, code, said in lab.crashes:
         print(f"{name} crashed ({code}): {said}")
     for fault in lab.faults[:3]:
--- a/petrellane/lab/fleet.py
+++ b/petrellane/lab/fleet.py
@@ -19,7 +19,7 @@
 from petrellane import referee
 from petrellane.lab.clients import Clients, Customer, Front, Method
 from petrellane.lab.processes import Process
-from petrellane.lab.records import Records
+from petrellane.lab.records import SETTLE, Records
 from petrellane.lab.relay import Relay
 from petrellane.lab.standins import Counter, Discovery, Host
 from petrellane.net.scheduler import Scheduler
@@ -252,7 +252,8 @@
     def __init__(self, shape):
         self.shape, self.scheduler = shape, Scheduler()
         self.scheduler.fault = self.fault
-        self.last_port = 2000
+        self.last_port, self.turned = 2000, time.monotonic()
+        self.longest = 0.0    # seconds that the rig stood still at most, under load
         self.ip = "127.%d.%d.%d" % tuple(random.SystemRandom().randint(1, 250) for _ in range(3))
         memory_disk = "/dev/shm"    # a flush to a shared disk takes as long as it likes, which is not what is played
         self.folder = tempfile.mkdtemp(prefix="petrellane-lab-", dir=memory_disk if os.path.isdir(memory_disk) else None)
@@ -380,7 +381,13 @@
     # Running.
 
     def turn(self):
+        away = time.monotonic() - self.turned    # whoever plays the lab did something else: to start a process takes time
         self.scheduler.turn(min(10, self.scheduler.pause() or 0) if self.scheduler.pause() is not None else 10)
+        self.records.turns += 1
+        still, self.scheduler.longest, self.turned = away + self.scheduler.longest, 0.0, time.monotonic()
+        if still > SETTLE and (self.clients.on or self.clients.out):
+            self.records.tell(f"the rig stood still for {still:.3f} s")
+            self.longest = max(self.longest, still)
 
     def play(self, seconds):
         """Let so much time go by."""
@@ -444,7 +451,7 @@
     @property
     def void(self):
         """Why the run proves nothing, or ""."""
-        longest = self.scheduler.longest
+        longest = self.longest
         return f"the rig stood still for {longest:.2f} s: this machine is too busy" if longest > self.STOOD_STILL else ""
 
     def verdict(self):
--- a/petrellane/lab/records.py
+++ b/petrellane/lab/records.py
@@ -4,8 +4,9 @@
 reached a host is not seen. Under which settings a gateway admits is told by what it lets through: a method that one
 generation alone has proves that generation.
 
-What is seen within `SETTLE` seconds is put in the order in which it must have happened: a gateway closes the connection of
-one call-out before it sends the next of the same RPC, but two sockets may tell it the other way round.
+What is seen within `SETTLE` seconds, and within two turns of the rig however long these take, is put in the order in which
+it must have happened: a gateway closes the connection of one call-out before it sends the next of the same RPC, but two
+sockets may tell it the other way round. What was in a socket when a turn began is read by the end of the next.
 """
 
 from collections import deque
@@ -33,17 +34,21 @@
     def __init__(self, terms, clock, keep=20_000):
         self.referee, self.clock, self.began = referee.Referee(terms), clock, clock()
         self.open, self.kept, self.most = {}, deque(maxlen=keep), keep
-        self.pending = deque()    # records that are still put in order
+        self.pending, self.turns = deque(), 0    # (record, turn) that are still put in order; turns of the rig so far
         self.counts, self.told, self.proves = {}, [], {}
 
+    def keep_all(self):
+        """Keep every record of the run, as it is to be written or counted as a whole."""
+        self.kept = deque(self.kept)
+
     def now(self):
         """Seconds since the run began."""
         return self.clock() - self.began
 
     def take(self, record):
-        self.pending.append(record)
-        while self.pending and self.pending[0].at < self.now() - SETTLE:
-            self.judge(self.pending.popleft())
+        self.pending.append((record, self.turns))
+        while self.pending and self.pending[0][0].at < self.now() - SETTLE and self.pending[0][1] < self.turns - 1:
+            self.judge(self.pending.popleft()[0])
 
     def judge(self, record):
         self.referee.take(record)
@@ -79,9 +84,9 @@
             return
         call.over = True
         record = referee.Ended(self.now(), call.gateway, call.rpc, call.number, outcome)
-        for at, other in enumerate(self.pending):
+        for at, (other, turn) in enumerate(self.pending):
             if isinstance(other, referee.Sent) and other.rpc == call.rpc and other.number > call.number:
-                self.pending.insert(at, record._replace(at=other.at))
+                self.pending.insert(at, (record._replace(at=other.at), turn))
                 return
         self.take(record)
 
@@ -99,8 +104,14 @@
         self.take(referee.Life(self.now(), gateway, "killed"))
         self.open = {rpc: told for rpc, told in self.open.items() if told[0] != gateway}
 
+    def about(self, rpc):
+        """What was seen of an RPC, a line each."""
+        return [f"{one.at:8.3f} {type(one).__name__} " + " ".join(
+            f"{name}={value}" for name, value in one._asdict().items() if name not in ("at", "rpc"))
+            for one in self.kept if getattr(one, "rpc", None) == rpc]
+
     def close(self):
         """The verdict, up to now."""
         while self.pending:
-            self.judge(self.pending.popleft())
+            self.judge(self.pending.popleft()[0])
         return self.referee.close(self.now())
--- a/tests/lab/cases.py
+++ b/tests/lab/cases.py
@@ -17,6 +17,7 @@
 from petrellane.lab import play
 from petrellane.lab.clients import Customer, Method
 from petrellane.lab.fleet import Lab, Shape, settings
+from petrellane.lab.records import Records
 from petrellane.lab.relay import Relay
 from petrellane.lab.standins import StandIn
 from petrellane.net.scheduler import Scheduler
@@ -644,6 +645,33 @@
             ("TimeoutError", b""), b"hello"])
 
 
+class Order(unittest.TestCase):
+    """What two sockets tell in the wrong order within a long turn of the rig is no break; what is wrong is told."""
+
+    def told(self, turns):
+        clock = [0.0]
+        methods, groups = {"post": referee.MethodRule("deduplicated", "all", 9.0)}, {"a": (1, "z"), "b": (1, "z")}
+        records = Records(referee.Terms(methods, {}, groups), lambda: clock[0])
+        records.taken("r", "g0", "c", "free", "post", 1.0, 2.0)
+        first = records.sent("r", "a", 0.1)
+        for _ in range(5):
+            records.turns, clock[0] = records.turns + 1, clock[0] + 0.1
+        records.sent("r", "b", 0.1)
+        for _ in range(turns):
+            records.turns += 1
+        clock[0] += 0.2    # the turn takes its time
+        records.forget("other")
+        records.ended(first, "late")
+        return records.close().counts
+
+    def test_an_end_that_is_read_late_in_a_long_turn(self):
+        self.assertEqual(self.told(0), {})
+        self.assertEqual(self.told(1), {})
+
+    def test_an_end_that_comes_two_turns_later(self):
+        self.assertEqual(self.told(2), {"twice": 1})
+
+
 class Hosts(Judged):
     """What happens between gateways and hosts, judged from the host list that each gateway has heard and what hosts get."""
 
@@ -790,4 +818,4 @@
         return False
 
 
-CASES = [Changes, Ceilings, Kills, Staff, Relays, Hosts, Runs]
+CASES = [Changes, Ceilings, Kills, Staff, Relays, Order, Hosts, Runs]
