--- a/tests/spread/cases.py
+++ b/tests/spread/cases.py
@@ -12,7 +12,9 @@
 from hypothesis import settings as limits
 from hypothesis import strategies as st
 
+from petrellane import interface as api
 from petrellane import referee
+from petrellane.choice import Gateway
 from petrellane.lab.fleet import Lab, Shape
 from petrellane.model import thin
 from petrellane.model.baselines import BASELINES, place_of
@@ -245,6 +247,34 @@
             self.assertLess(max(gaps), 2.01 * min(gaps))
 
 
+class Few(unittest.TestCase):
+    """What a gateway makes of the few samples that it has."""
+
+    def pressure(self, takes, every=0.15):
+        """The pressure after RPCs that took so long, one at a time, of a soft deadline of a second."""
+        gateway = Gateway(seed=1, counter=False, must_ask=False, zone="z", counter_timeout=0.05, may_cancel=True,
+                          max_wait=0.5, cold=0.0, cold_from=1.0, cross_zone=0.0)
+        gateway.started(100.0)
+        gateway.listed(100.0, True, [api.Listing(api.Host(f"h{at}"), "z", "", 0, api.READY, 1.0, 0.0) for at in range(20)])
+        method, customer = api.Method("m", 1.0, 4.0), api.Customer("c", api.Plan("p"))
+        now = 100.0
+        for took in takes:
+            now += max(every, took)
+            rpc = api.Rpc(method, customer, 1.0, now + 4.0, now)
+            call_out = next(step for step in gateway.place(now, rpc) if isinstance(step, api.CallOut))
+            gateway.again(now + took, call_out, api.OK, over=True, took=took)    # the next comes later
+        return gateway.fleet.pressure(now + took)
+
+    def test_a_run_of_long_rpcs_among_few_is_chance_and_no_pressure(self):
+        self.assertEqual(self.pressure(48 * [0.1] + 16 * [0.27], every=0.15), 0.0)
+
+    def test_all_of_them_long_is_pressure(self):
+        self.assertGreater(self.pressure(64 * [0.4]), 0.2)
+
+    def test_a_busy_gateway_sees_it_within_a_second(self):
+        self.assertGreater(self.pressure(300 * [0.02] + 40 * [0.45], every=0.005), 0.05)
+
+
 class Processes(unittest.TestCase):
 
     def test_figures_of_real_gateways_by_log_and_by_record(self):
@@ -264,4 +294,4 @@
         self.assertLess(found.spans[1].excess, 1.4)
 
 
-CASES = [Chance, Planted, Sources, Thin, Processes]
+CASES = [Chance, Planted, Sources, Thin, Few, Processes]
