--- a/petrellane/spread/words.py
+++ b/petrellane/spread/words.py
@@ -51,7 +51,7 @@
     axes.set_ylabel("hosts")
     if len(hosts) <= 60:
         axes.set_yticks([at + 0.5 for at in range(len(hosts))], [str(host) for host in hosts], fontsize=6)
-    figure.colorbar(shown, label="call-outs over what was due (blank: not ready)")
+    figure.colorbar(shown, label="call-outs over due")
     axes.set_title(f"call-outs by host and {seconds:g} s")
     figure.tight_layout()
     figure.savefig(path, format="svg", metadata={"Date": None})
