--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -1,12 +1,13 @@
 """How even load is over hosts: the module beside other ways to choose, in the model, and hundreds of real gateways.
 
     python benchmarks/spread.py model [--gateways 200] [--hosts 100] [--loads 0.5,0.8,0.95] [--seeds 5] [--patience 8]
+    python benchmarks/spread.py hard [--gateways 200] [--hosts 100] [--load 0.5] [--ways module,two choices]
     python benchmarks/spread.py processes [--gateways 200] [--hosts 60] [--load 0.5] [--seconds 40] [--rate 400]
 
-`model` prints a row for each way and load, medians over seeds with the least and the most; times are multiples of the mean
-work. `processes` starts so many gateways on loopback, hosts that are stand-ins, and faults in turn: a host that comes back
-empty, one ten times as slow, one that answers errors at once, one that is silent, all gateways' list late; it prints the
-figures of each part and what the machine had to give. One JSON line last.
+`model` prints a row for each way and load, medians over seeds with the least and the most; times are multiples of the
+mean work. `hard` plays one fault of each kind at 8 s; its figures are of 8 to 20 s. `processes` starts so many gateways on
+loopback, hosts that are stand-ins, and faults in turn: a host that comes back empty, one ten times as slow, one that answers
+errors at once, one that is silent; it prints the figures of each part and what the machine had to give. One JSON line last.
 """
 
 import argparse
@@ -25,6 +26,7 @@
 from petrellane.model import thin  # noqa: E402
 from petrellane.model.baselines import BASELINES  # noqa: E402
 from petrellane.model.fleet import Fleet  # noqa: E402
+from petrellane.model.scenario import Fault  # noqa: E402
 from petrellane.spread import sources  # noqa: E402
 from petrellane.spread.figures import figures  # noqa: E402
 
@@ -45,6 +47,41 @@
             "broken": run.broken}
 
 
+HARD = {
+    "no fault": (), "all gateways restart at once": (Fault("gateways killed", 8.0, 0.3, 0, 1.0),),
+    "one host back, cold": (Fault("host killed", 8.0, 2.0),),
+    "one ten times as slow": (Fault("host slow", 8.0, 6.0, 0, 10.0),),
+    "one fails all": (Fault("host fails", 8.0, 6.0, 0, 1.0),), "one hangs": (Fault("host hangs", 8.0, 5.0),),
+    "a third drains": (Fault("hosts drain", 8.0, 3.0, 0, 0.33),),
+    "a third drains, list late": (Fault("list late", 6.0, 6.0, 0, 3.0), Fault("hosts drain", 8.0, 3.0, 0, 0.33))}
+
+
+def hard_play(case, who, gateways, hosts, load, patience, rate):
+    """The figures of one fault; what the first host gets by second after it is back, over its part."""
+    scenario = thin.thin(gateways, hosts, load, 1, rate, 20.0, patience, faults=HARD[case])
+    run = Fleet(scenario, BASELINES.get(who, Gateway), keep=True).play()
+    served, found = thin.served(run, WARM), figures(sources.of_records(run.records, 8.0, 20.0))
+    sent = [int(at) for at, _, host, _ in sources.of_records(run.records, 10.0, 20.0).sent if host == "h0"]
+    back = [round(sent.count(at) * hosts / rate, 2) for at in range(10, 20)] if "back" in case else []
+    return {"case": case, "who": who, **served._asdict(), "p99": served.p99 / scenario.methods[0].work,
+            "excess": [one.excess for one in found.spans], "idle": len(found.idle), "herd": found.herd,
+            "herd_by_chance": found.herd_by_chance, "period": found.period, "broken": run.broken, "back": back}
+
+
+def hard(told):
+    """One fault of each kind; a row each."""
+    ways = told.ways.split(",") if told.ways else ("module", "two choices")
+    jobs = [(case, who, told.gateways, told.hosts, told.load, told.patience, told.rate) for case in HARD for who in ways]
+    with concurrent.futures.ProcessPoolExecutor(told.jobs or None) as pool:
+        rows = list(pool.map(hard_play, *zip(*jobs, strict=True)))
+    for row in rows:
+        excess = " ".join(f"{one:.2f}" for one in row["excess"])
+        print(f"{row['case']:28} {row['who']:12} pushed {row['pushed']:.3f} late {row['late']:.3f} p99 {row['p99']:.1f} "
+              f"excess {excess} idle {row['idle']} herd {row['herd']:.2f} "
+              f"({row['herd_by_chance']:.2f}) swing {row['period']} broken {row['broken'] or 'none'} {row['back'] or ''}")
+    return rows
+
+
 def middle(rows, name):
     values = [row[name] for row in rows]
     return f"{statistics.median(values):.3f} ({min(values):.3f}-{max(values):.3f})"
@@ -138,13 +175,16 @@
 
 def main():
     words = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    words.add_argument("what", choices=("model", "processes"))
+    words.add_argument("what", choices=("model", "hard", "processes"))
     for name, value, kind in (("gateways", 200, int), ("hosts", 0, int), ("loads", "0.5,0.8,0.95", str), ("seeds", 5, int),
                               ("patience", 8.0, float), ("rate", 0.0, float), ("seconds", 0.0, float), ("load", 0.5, float),
                               ("ways", "", str), ("jobs", 0, int)):
         words.add_argument("--" + name, type=kind, default=value)
     told = words.parse_args()
-    if told.what == "model":
+    if told.what == "hard":
+        told.hosts, told.rate = told.hosts or 100, told.rate or 1000.0
+        print(json.dumps(hard(told)))
+    elif told.what == "model":
         told.hosts, told.rate, told.seconds = told.hosts or 100, told.rate or 1000.0, told.seconds or 20.0
         print(json.dumps(model(told)))
     else:
--- a/tests/spread/cases.py
+++ b/tests/spread/cases.py
@@ -19,6 +19,7 @@
 from petrellane.model import thin
 from petrellane.model.baselines import BASELINES, place_of
 from petrellane.model.fleet import Fleet
+from petrellane.model.scenario import Fault
 from petrellane.spread import sources, words
 from petrellane.spread.figures import Told, figures, herd, idle, span, swing, windows
 
@@ -240,6 +241,25 @@
     def test_round_robin_is_as_even_as_it_is_here(self):
         self.assertLess(span(self.play("round robin", gateways=2)[1], 5.0).peak, 1.08)    # of a few that have much each
 
+    def test_faults_at_hosts_and_gateways_leave_none_idle_and_break_no_rule(self):
+        for fault in (Fault("gateways killed", 4.0, 0.3, 0, 1.0), Fault("host slow", 4.0, 4.0, 0, 10.0),
+                      Fault("hosts drain", 4.0, 2.0, 0, 0.33), Fault("host hangs", 4.0, 3.0)):
+            with self.subTest(fault.what):
+                run = Fleet(thin.thin(40, 20, 0.5, rate=300.0, length=10.0, faults=(fault,)), keep=True).play()
+                self.assertEqual(run.broken, [])
+                told = sources.of_records(run.records, 2.0, 10.0)
+                self.assertEqual([one for one in idle(told) if one.host != "h0" or fault.what == "gateways killed"], [])
+                self.assertLess(span(told, 5.0).excess, 1.45)
+
+    def test_a_host_that_is_back_gets_no_more_than_its_part(self):
+        fault = Fault("host killed", 3.0, 2.0)
+        run = Fleet(thin.thin(40, 20, 0.5, rate=300.0, length=12.0, faults=(fault,)), keep=True).play()
+        self.assertEqual(run.broken, [])
+        sent = [at for at, _, host, _ in sources.of_records(run.records, 5.0, 12.0).sent if host == "h0"]
+        for since in (5.0, 7.0, 9.0):
+            self.assertLess(sum(since <= at < since + 2 for at in sent), 1.5 * 2 * 300.0 / 20)
+        self.assertGreater(len(sent), 0.3 * 7 * 300.0 / 20)
+
     def test_a_ring_is_even_for_any_number(self):
         for number in (7, 64, 100):
             places = sorted(map(place_of, range(number)))
