After a pause of the rig, what hosts got comes before the client's answer

Checked: the gateway's answers are of one batch of reads after the pause; host sides of new connections are read a turn later than a client's. So the order is the rig's.

A test fails without it ({'lost': 1}); another shows that without a pause the rule is told as before.

--- a/petrellane/lab/fleet.py
+++ b/petrellane/lab/fleet.py
@@ -382,12 +382,14 @@
 
     def turn(self):
         away = time.monotonic() - self.turned    # whoever plays the lab did something else: to start a process takes time
+        if away > SETTLE:
+            self.records.stood_still = self.records.turns
         self.scheduler.turn(min(10, self.scheduler.pause() or 0) if self.scheduler.pause() is not None else 10)
         self.records.turns += 1
         still, self.scheduler.longest, self.turned = away + self.scheduler.longest, 0.0, time.monotonic()
         if still > SETTLE and (self.clients.on or self.clients.out):
             self.records.tell(f"the rig stood still for {still:.3f} s")
-            self.longest = max(self.longest, still)
+            self.longest, self.records.stood_still = max(self.longest, still), self.records.turns
 
     def play(self, seconds):
         """Let so much time go by."""
--- a/tests/lab/cases.py
+++ b/tests/lab/cases.py
@@ -668,6 +668,24 @@
         self.assertEqual(self.told(0), {})
         self.assertEqual(self.told(1), {})
 
+    def answered_first(self, stood_still):
+        """An answer that is read before the host's side of the call-out that led to it."""
+        clock = [0.0]
+        records = Records(referee.Terms({"look": referee.MethodRule("idempotent")}, {}, {}), lambda: clock[0])
+        records.turns = 10
+        records.taken("r", "g0", "c", "free", "look", 1.0, 2.0)
+        if stood_still:
+            records.stood_still = records.turns
+        records.answered("r", referee.PUSHED_BACK, "look")
+        records.ended(records.sent("r", "a", 0.1), "late")
+        return records.close().counts
+
+    def test_what_hosts_got_while_the_rig_stood_still_comes_before_the_answer(self):
+        self.assertEqual(self.answered_first(True), {})
+
+    def test_what_is_sent_after_the_answer_is_told_where_it_did_not(self):
+        self.assertEqual(self.answered_first(False), {"lost": 1})
+
     def test_an_end_that_comes_two_turns_later(self):
         self.assertEqual(self.told(2), {"twice": 1})
 
