A call for the host list has one end for its whole answer, and the one after a failure asks at once

Need: a list that stops sending must not hide what discovery has to tell. Seen: a head of which half comes at the end of a hold, or a body that drips a byte each tenth of a second, was waited for a whole hold and grace more after each byte (http.take, http.chunked and Discovery.watch gave each read the full time). A call that follows a failure asked for a hold of 2 to 6 s, so discovery_back came only at its end. An index below ours was taken over. Ruled out: Driver.listed can't let the module send before Upstream knows: Gateway.listed answers with nothing but Subscribe.

--- a/petrellane/agreement/post.py
+++ b/petrellane/agreement/post.py
@@ -33,10 +33,10 @@
         body, body_seal = seal.question(key, message)
         stream.write(http.post(path.decode(), "%s:%d" % address, {seal.FIELD.decode(): body_seal.decode()}, body))
         while not (found := http.head(stream.buffer, limits)):
-            stream.fill(max(0.0, until - scheduler.now()))
+            http.more(stream, until)
         status, fields, end = found
         del stream.buffer[:end]
-        told = http.body(stream, fields, limits, max(0.0, until - scheduler.now()))
+        told = http.body(stream, fields, limits, until)
         if seal.FIELD not in fields:
             raise Impostor(f"status {status} without a seal: {told[:100].decode('latin-1').strip()}")
         return seal.answered(key, body_seal, fields.get(seal.FIELD), told)
--- a/petrellane/net/http.py
+++ b/petrellane/net/http.py
@@ -35,32 +35,42 @@
     return int(parts[1]), fields, end + 4
 
 
-def body(stream, fields, limits, timeout):
-    """Read the body of an answer whose head has been consumed."""
+def more(stream, until):
+    """Wait for more bytes, up to a clock time for the whole answer, however it comes: TimeoutError after that. Others have
+    their turn first, so that a long answer does not hold them up."""
+    scheduler = stream.scheduler
+    if scheduler.now() >= until:
+        raise TimeoutError("no whole answer in time")
+    stream.fill(until - scheduler.now())
+    scheduler.wait(0)
+
+
+def body(stream, fields, limits, until):
+    """Read the body of an answer whose head has been consumed, by a clock time."""
     if fields.get(b"transfer-encoding", b"").lower() == b"chunked":
-        return chunked(stream, limits, timeout)
+        return chunked(stream, limits, until)
     length = fields.get(b"content-length", b"")
     if not length.isdigit() or int(length) > limits.list_size:
         raise Malformed("bad length")
-    return take(stream, int(length), timeout)
+    return take(stream, int(length), until)
 
 
-def take(stream, length, timeout):
+def take(stream, length, until):
     """So many bytes from a stream."""
     while len(stream.buffer) < length:
-        stream.fill(timeout)
+        more(stream, until)
     data = bytes(stream.buffer[:length])
     del stream.buffer[:length]
     return data
 
 
-def chunked(stream, limits, timeout):
+def chunked(stream, limits, until):
     data = bytearray()
     while True:
         while (end := stream.buffer.find(b"\r\n")) < 0:
             if len(stream.buffer) > limits.line:
                 raise Malformed("bad chunk")
-            stream.fill(timeout)
+            more(stream, until)
         try:
             length = int(bytes(stream.buffer[:end]).split(b";")[0], 16)
         except ValueError:
@@ -68,7 +78,7 @@
         if length < 0 or len(data) + length > limits.list_size:
             raise Malformed("list too long")
         del stream.buffer[:end + 2]
-        chunk = take(stream, length + 2, timeout)    # the last one stands for an empty trailer as well
+        chunk = take(stream, length + 2, until)    # the last one stands for an empty trailer as well
         if not length:
             return bytes(data)
         data += chunk[:-2]
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -37,6 +37,7 @@
     counter_idle: float = 4.0         # the counter closes idle connections after ten seconds or less
     watch_hold: float = 4.0           # how long discovery may hold a watch, about
     watch_grace: float = 1.0          # and how much later its answer may come
+    watch_silent: float = 2.0         # the same for a call that waits for no news, after one that failed
     watch_pause: float = 0.02         # before the next watch, where there was no news
     list_size: int = 8 * 1024 * 1024  # a host list
     back_off_first: float = 0.1       # wait before the first new connection to discovery, about
@@ -61,6 +62,8 @@
     ending_most: float = 15.0         # and then, for the clients that never let go of us
     beat: float = 0.1                 # a timer rings so often, which tells of having stood still in a poll
     figures: float = 1.0              # between log lines that tell what was counted
+    kill_after: float = 0.5           # the kill comes 0.7 s and the longest deadline after SIGTERM: all is answered by then
+    kill_longest: float = 3.0         # and a longer deadline counts as this
     let_go: float = 0.05              # between looks for clients that are owed nothing
     log_lines: int = 1000             # log lines that wait for a slow reader; what comes on top is dropped
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -440,6 +440,8 @@
     def fence(self):
         for _ in range(5):
             self.turn()
+        if self.node.ending:    # nobody new stays
+            return
         if "fence" not in self.clients:
             self.do_connect("fence")
         self.do_open("fence")
@@ -606,9 +608,17 @@
             peer.reset()
         self.fence()
 
+    def live(self):
+        """The watch that is out, once there is one: after a failure it comes with the clock."""
+        for _ in range(50):
+            if self.watch and not self.watch.ended:
+                break
+            self.do_wait(0.02)
+        return self.until("a watch", lambda: self.watch)
+
     def do_tells(self, state, *names):
         """Discovery answers the watch that is out with a change."""
-        self.until("a watch", lambda: self.watch)
+        self.live()
         self.index += 1
         rows = [self.entry(name, "127.0.0.1:%d" % self.listeners[name].getsockname()[1]
                            if name in self.listeners else "127.0.0.1:1",
@@ -619,14 +629,25 @@
 
     def do_says(self, *text):
         """Discovery answers the watch that is out with these bytes."""
-        watch, self.watch = self.until("a watch", lambda: self.watch), None
+        watch, self.watch = self.live(), None
         watch.sock.send(unescape(" ".join(text)))
         if "Connection: close" in " ".join(text):
             watch.sock.close()
             watch.ended = True
 
+    def do_trickles(self, seconds, *text):
+        """Discovery answers the watch that is out a byte each tenth of a second, for so long."""
+        watch, self.watch = self.live(), None
+        data = unescape(" ".join(text))
+        for at in range(int(float(seconds) * 10)):
+            try:
+                watch.sock.send(data[at:at + 1])
+            except OSError:    # its caller has gone
+                break
+            self.do_wait(0.1)
+
     def do_watch(self, *text):
-        assert " ".join(text).encode() in self.until("a watch", lambda: self.watch).asked, self.watch.asked
+        assert " ".join(text).encode() in self.live().asked, self.watch.asked
 
     def do_counts(self, *wanted):
         """What the count over a fleet makes of this gateway's log: NAME=NUMBER in all, since the start."""
@@ -668,6 +689,14 @@
         assert max(seconds[one] for one in seconds if one) <= int(most), seconds
         assert len(seconds) > 3, seconds    # and they go on asking
 
+    def do_says_half(self, name, state):
+        """Discovery begins to tell of a host, and its connection is reset within that."""
+        self.do_says('HTTP/1.1 200 OK\\r\\nContent-Length:\\s400\\r\\n\\r\\n{"endpoints":[{"name":"%s","status":"%s"' % (name, state))
+        self.turn()
+        for peer in self.peers:
+            if peer.at == "discovery" and not peer.ended:
+                peer.reset()
+
     def do_hangs_up(self):
         watch, self.watch = self.until("a watch", lambda: self.watch), None
         watch.reset()
