All that is open has its answer before a kill may come; what a drain turns back is told so

Need: a restart with RPCs in flight must lose none, whatever the settings' deadlines are. While draining, whole commands that came behind an open RPC after 1.8 s were read and thrown away (Client.closing, pass_over), so a client could not tell them from ones under way. Change: Service says when all is answered at last (longest deadline, 3 s at most, and 0.5 s); RPCs taken after SIGTERM have no more time than that, and what is open then is given its final answer by the module. Behind what is owed nothing more is taken after the change-over, nor by a drain after its last command: these are answered -BUSY in their order, never sent on. A connection of a drain ends its sending as soon as it has all its answers; only what crosses that goes unread. Ruled out: a second SIGTERM does nothing; a connection in the accept queue and a command half come are served.

--- a/petrellane/gateway/driver.py
+++ b/petrellane/gateway/driver.py
@@ -1,5 +1,6 @@
 """Calls the decisions with what the sockets tell, and carries out the steps they answer with."""
 
+import math
 from collections import Counter
 from weakref import WeakValueDictionary
 
@@ -21,6 +22,7 @@
         self.ids = {}    # id -> exchange, while it is open
         self.to = Counter() if config.by_host else None    # call-outs by host since the last figures
         self.tally = Counter()    # what came, went out and was answered since the last figures, by kind
+        self.last = math.inf    # when all that is open has its answer, where we end
         self.upstream = self.counter = self.handover = self.agent = None    # set before the first event
         self.carriers = {api.CallOut: self.call_out, api.PushBack: self.push_back, api.Abort: self.abort,
                          api.Cancel: self.cancel, api.Add: self.add, api.Wake: self.wake,
@@ -87,7 +89,8 @@
         name = exchange.customer.decode()
         customer = self.customer(name, plan, first, spread)
         came = self.scheduler.since()    # its patience may have run while we stood still
-        rpc = exchange.rpc = api.Rpc(method, customer, units, came + min(exchange.patience, method.deadline), came,
+        deadline = min(came + min(exchange.patience, method.deadline), self.last)
+        rpc = exchange.rpc = api.Rpc(method, customer, units, deadline, came,
                                      resent=exchange.named.get("r") == "1", write=method.effect != api.IDEMPOTENT)
         self.exchanges[rpc] = self.ids[exchange.id] = exchange
         self.tally["rpcs"] += 1
@@ -126,6 +129,14 @@
             self.carry_out(self.gateway.left(self.now(), exchange.rpc))
             self.upstream.left(exchange.rpc.call_outs)
 
+    def last_answers(self):
+        """We may be killed soon: whatever is open has no time left, for the module as for its attempts."""
+        for rpc, exchange in list(self.exchanges.items()):
+            rpc.deadline = min(rpc.deadline, self.now())
+            self.upstream.run_out(rpc.call_outs)
+            if rpc in self.exchanges:    # it waits, and was never sent
+                self.tell(rpc, self.gateway.woken, self.now(), rpc)
+
     def begun(self, attempt, passage, length):
         """A long answer has begun, which the client gets as it comes; False where nobody waits for it. For the module
         the RPC is answered now: how soon a client reads says nothing of a host."""
--- a/petrellane/gateway/node.py
+++ b/petrellane/gateway/node.py
@@ -35,7 +35,8 @@
         self.log = Logger(log_descriptor, config.name, self.scheduler.now, self.limits.log_lines)
         self.driver = Driver(config, self.scheduler, self.limits, self.log)
         account = Account(self.limits)
-        self.service = Service(self.limits.change_over, self.limits.last_command)
+        self.service = Service(self.limits.change_over, self.limits.last_command, self.limits.kill_after,
+                               self.limits.kill_longest)
         self.server = Server(self.scheduler, self.limits, self.log, self.service, self.driver.place, self.driver.left,
                              lambda more: self.upstream.make_room(more), account)
         self.management = Management(self.scheduler, self.limits, self.service, self.changed,
@@ -247,6 +248,9 @@
             self.ending = True
             self.service.end(self.scheduler.now())
             self.log.event("ending", clients=len(self.server.clients), open=len(self.driver.exchanges))
+            by = self.service.answers_by(max((one.deadline for one in self.config.settings.methods.values()), default=0.0))
+            self.scheduler.after(max(0.0, by - self.scheduler.now()), self.driver.last_answers)
+            self.driver.last = by
             if self.server.heir:    # clients go to the next process, not away
                 self.server.end(self.stop)
                 return
--- a/petrellane/gateway/server.py
+++ b/petrellane/gateway/server.py
@@ -16,6 +16,7 @@
 QUERY = b"SVC.QUERY"
 SERVED = {QUERY, b"SVC.SUBMIT"}
 PING, PONG, UNWELCOME = b"PING", b"+PONG\r\n", b"-ERR draining\r\n"
+REFUSED = b"-BUSY\r\n"    # not taken: we go, and another gateway may
 AT_ONCE = {PING: PONG, b"CLIENT": b"+OK\r\n", b"SELECT": b"+OK\r\n"}
 
 
@@ -327,8 +328,10 @@
         return taken == limits.commands
 
     def take(self, buffer, start, spans, end):
-        verb = bytes(buffer[slice(*spans[0])]).upper()
-        if verb in SERVED:
+        verb, service = bytes(buffer[slice(*spans[0])]).upper(), self.server.service
+        if verb in SERVED and not service.takes(self.server.scheduler.now(), self.came, bool(self.owed)):
+            self.reply(REFUSED)
+        elif verb in SERVED:
             self.asked = True
             try:
                 exchange = Exchange(verb == QUERY, buffer, start, spans, end, self.flush)
@@ -343,7 +346,7 @@
             except BadField as trouble:
                 exchange.finish(error(str(trouble)))
         else:
-            unwelcome = verb == PING and not self.server.service.welcomes
+            unwelcome = verb == PING and not service.welcomes
             self.reply(UNWELCOME if unwelcome else AT_ONCE.get(verb) or error("unknown command"))
 
     def reply(self, answer):
@@ -391,8 +394,9 @@
             pass    # it goes to another process
         elif self.server.service.lets_go(now) and self.goes(now) and self.idle():
             self.stream.close()
-        elif not self.closing and not self.server.service.takes(now, self.came):    # what it sends from now on is not read
-            self.closing = True
+        elif not (self.closing or self.owed or self.stream.unsent or self.server.service.takes(now, self.came)):
+            self.closing = True    # it has all its answers, and our end tells that what it sends from now on is not read
+            self.let_go()
 
     def goes(self, now):
         """Whether it is to end when idle. One that pings alone, to learn when we are back, may go on while we drain."""
--- a/petrellane/gateway/upstream.py
+++ b/petrellane/gateway/upstream.py
@@ -332,6 +332,11 @@
                 connection.stream.unsent.clear()    # nothing is written behind it: see takes_more
                 connection.give_up(attempt, api.NEVER_SENT)
 
+    def run_out(self, call_outs):
+        """The time of these is over."""
+        for attempt in filter(None, [self.attempts.get(call_out) for call_out in call_outs]):
+            self.give_up(attempt, api.LATE)
+
     def give_up(self, attempt, outcome):
         if attempt.call_out not in self.attempts or attempt.given_up and outcome != api.LATE or attempt.passing:
             return
--- a/petrellane/operation/states.py
+++ b/petrellane/operation/states.py
@@ -8,16 +8,20 @@
     any of them --end--> ending, from which nothing leads back
 """
 
+import math
+
 STARTING, SERVING, DRAINING, DRAINED, ENDING = "starting", "serving", "draining", "drained", "ending"
 
 
 class Service:
     """Whether this gateway takes clients. Times are Unix seconds; `change_over` and `last_command` are seconds after a
     drain or an end began: until the first, clients still come and are served as before; from the second on, a
-    connection that was there takes no new command while it drains."""
+    connection that was there takes no new command while it drains. An ending process may be killed `kill_after` seconds and
+    the longest deadline (at most `kill_longest`) after it was told; what is open then is answered before."""
 
-    def __init__(self, change_over, last_command):
+    def __init__(self, change_over, last_command, kill_after=math.inf, kill_longest=math.inf):
         self.change_over, self.last_command = change_over, last_command
+        self.kill_after, self.kill_longest = kill_after, kill_longest
         self.state, self.since = STARTING, 0.0
         self.followed = False    # another process takes the clients, and gets those that are here
 
@@ -70,6 +74,13 @@
         """Whether a connection that is owed nothing ends."""
         return self.state not in (STARTING, SERVING) and now - self.since >= self.change_over
 
-    def takes(self, now, came):
-        """Whether a connection that came then takes a new command."""
-        return self.state in (STARTING, SERVING, ENDING) or now - max(self.since, came) < self.last_command
+    def takes(self, now, came, owed=False):
+        """Whether a connection that came then takes a new command; one that is refused is told so. While we end, a command
+        that had begun is taken, and none behind others that are still owed: it would keep the connection for ever."""
+        if self.state == ENDING:
+            return not (owed and self.lets_go(now))
+        return self.state in (STARTING, SERVING) or now - max(self.since, came) < self.last_command
+
+    def answers_by(self, longest):
+        """When all that is open has its answer at last, given the longest deadline; never, unless we end."""
+        return self.since + min(longest, self.kill_longest) + self.kill_after if self.state == ENDING else math.inf
--- a/tests/operation/cases.py
+++ b/tests/operation/cases.py
@@ -1,6 +1,7 @@
 """The rules of operation, without a socket."""
 
 import copy
+import math
 import unittest
 
 import orjson
@@ -56,6 +57,17 @@
         self.assertFalse(service.takes(11.9, came=3.0))
         self.assertTrue(service.takes(11.9, came=11.0))    # it came late and asks in vain, but is heard
 
+    def test_ending_takes_nothing_behind_what_is_owed(self):
+        service = Service(0.5, 1.8, 0.5, 3.0)
+        service.begin()
+        self.assertEqual(service.answers_by(1.0), math.inf)
+        service.end(10.0)
+        self.assertTrue(service.takes(10.4, 3.0, owed=True))     # as before, through the change-over
+        self.assertTrue(service.takes(12.0, 3.0, owed=False))    # a command that had begun
+        self.assertFalse(service.takes(10.6, 3.0, owed=True))
+        self.assertEqual(service.answers_by(1.0), 11.5)
+        self.assertEqual(service.answers_by(9.0), 13.5)          # a kill waits no longer than for three seconds
+
 
 class Calls(unittest.TestCase):
 
