A connection to a host rests ten milliseconds after an answer, where another can be had

Seen in twice-answered: r3 written right after r2's answer got r2's second answer as its own (Pool.assign took the connection that was used last, and clean() can only see what has come by then). Change: Pool.idle_one takes the last used of those that have rested (limits.rest); else a new one is dialed, or the first that has rested by then is taken, or, where the host holds no further one, any. A pool's idle connections count against its limit now.

--- a/petrellane/gateway/upstream.py
+++ b/petrellane/gateway/upstream.py
@@ -30,7 +30,7 @@
 
     def __init__(self, pool):
         self.pool, self.address, self.stream, self.out = pool, pool.address, None, deque()
-        self.idle_since, self.retiring, self.ended = 0.0, False, False
+        self.idle_since, self.answered, self.retiring, self.ended = 0.0, 0.0, False, False
         self.left, self.parts, self.passage = 0, 0, None    # bytes of a long value still to come; its answer's parts
 
     def run(self):
@@ -93,7 +93,7 @@
             if self.passage:
                 passage, self.passage = self.passage, None
                 passage.end()
-            self.pool.heard = self.pool.upstream.scheduler.now()
+            self.answered = self.pool.heard = self.pool.upstream.scheduler.now()
             self.pool.free(self)    # first, since what follows may be for this host as well
             self.pool.upstream.over(attempt, outcome, value, figures)
 
@@ -178,6 +178,7 @@
         self.upstream, self.host, self.address = upstream, host, address
         self.idle, self.busy = deque(), {}    # the last one used is the next one used
         self.queue, self.dials, self.heard = deque(), 0, 0.0
+        self.resting = None    # the timer for an idle connection to have rested
 
     def assign(self, attempt):
         """Write an attempt to an idle connection, or let it wait for a new one, or pipeline it."""
@@ -185,19 +186,30 @@
         self.go_on()
 
     def go_on(self):
-        """Serve what waits, the oldest first: by an idle connection, by a dial for each, else behind others. Where an
-        attempt is not to be sent any more it is handed back, whichever way its turn comes."""
+        """Serve what waits, the oldest first: by an idle connection that has rested, by a dial for each, else by any idle
+        one, or behind others. An attempt that is not to be sent any more is handed back, whichever way its turn comes."""
         while self.waits():
-            if connection := self.idle_one():
-                self.busy[connection] = None
-                connection.write(self.queue.popleft())
+            if connection := self.idle_one(self.upstream.limits.rest):
+                self.write(connection)
             elif len(self.queue) <= self.dials:
-                return
+                break
             elif not self.dial():
-                shared = [one for one in self.busy if one.takes_more()]
-                if not shared:
-                    return
-                min(shared, key=lambda one: len(one.out)).write(self.queue.popleft())
+                if connection := self.idle_one(0.0):
+                    self.write(connection)
+                elif shared := [one for one in self.busy if one.takes_more()]:
+                    min(shared, key=lambda one: len(one.out)).write(self.queue.popleft())
+                else:
+                    break
+        if self.queue and self.idle and not self.resting:    # a dial may be late: one that has rested is as good
+            self.resting = self.upstream.scheduler.after(self.upstream.limits.rest, self.rested)
+
+    def rested(self):
+        self.resting = None
+        self.go_on()
+
+    def write(self, connection):
+        self.busy[connection] = None
+        connection.write(self.queue.popleft())
 
     def waits(self):
         """Whether an attempt waits that is still to be sent; those in front of it that are not are handed back."""
@@ -205,10 +217,12 @@
             self.upstream.scheduler.soon(self.upstream.over, self.queue.popleft(), api.NEVER_SENT)
         return bool(self.queue)
 
-    def idle_one(self):
-        """The idle connection that was used last, if there is one that is still good."""
-        while self.idle:
-            connection = self.idle.pop()
+    def idle_one(self, rest):
+        """The idle connection that was used last, of those that have rested for so long and are still good. A host may
+        answer twice, some milliseconds apart: on a connection used again at once that would pass for the next answer."""
+        before = self.upstream.scheduler.now() - rest
+        for connection in reversed([one for one in self.idle if one.answered <= before]):
+            self.idle.remove(connection)
             if connection.clean():
                 return connection
             connection.end()
@@ -216,7 +230,9 @@
 
     def dial(self):
         """Begin a new connection; False where there is no room for one."""
-        if self.dials + len(self.busy) >= self.upstream.limits.host_connections or not self.upstream.make_room(1):
+        if self.dials + len(self.busy) + len(self.idle) >= self.upstream.limits.host_connections:
+            return False
+        if not self.upstream.make_room(1):
             return False
         self.dials += 1
         self.upstream.open += 1
@@ -235,14 +251,11 @@
             if all(other.given_up for other in connection.out):
                 connection.end()
             return
-        if not connection.out and self.waits():
-            self.busy[connection] = None
-            connection.write(self.queue.popleft())
         if not connection.out:
             self.busy.pop(connection, None)
             connection.idle_since = self.upstream.scheduler.now()
             self.idle.append(connection)
-        elif self.queue:
+        if self.queue:
             self.go_on()
 
     def dial_failed(self, connection, trouble):
@@ -257,7 +270,8 @@
         self.busy.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
-        self.go_on()    # one may wait that no dial will serve
+        if self.queue:    # one may wait that no dial will serve
+            self.upstream.scheduler.soon(self.go_on)
 
     def withdraw(self):
         """The host wants nothing new: idle connections end, and what waits for one is handed back."""
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -32,6 +32,7 @@
     backlog: int = 1024               # connections that wait to be accepted
     reserve: int = 32                 # descriptors kept free of clients and hosts
     host_connections: int = 48        # connections to one host
+    rest: float = 0.01                # a connection to a host rests so long after an answer, where another can be had
     host_floor: int = 128             # descriptors for hosts that idle clients have to make room for
     counter_connections: int = 8      # connections to the counter
     counter_idle: float = 4.0         # the counter closes idle connections after ten seconds or less
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -449,6 +449,10 @@
     def do_answers(self, rpc, *text):
         """Its host answers: $VALUE with figures and a load report, or a line as it is."""
         self.time += 0.001
+        self.do_again(rpc, *text)
+
+    def do_again(self, rpc, *text):
+        """The same, at once, also a second time."""
         peer, data = self.taken[rpc][-1][0], unescape(" ".join(text))
         if data.startswith(b"$"):
             value, *figures = data[1:].split(b" ")
