--- a/petrellane/gateway/node.py
+++ b/petrellane/gateway/node.py
@@ -177,6 +177,7 @@
                 if number in signals:
                     signals[number]()
         self.scheduler.register(ours.fileno(), select.POLLIN, rung)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, signals)    # what came since the start of the process is heard now
 
     def reload(self, load):
         """Take up what can be taken up of a configuration read anew: the settings, and the addresses of discovery and the
--- a/petrellane/lab/fleet.py
+++ b/petrellane/lab/fleet.py
@@ -259,7 +259,7 @@
         self.folder = tempfile.mkdtemp(prefix="petrellane-lab-", dir=memory_disk if os.path.isdir(memory_disk) else None)
         self.faults, self.crashes, self.relays, self.gateways, self.controls = [], [], {}, [], {}
         self.settings = shape.settings or settings(shape.gateways)
-        self.records = Records(self.terms(), self.scheduler.now)
+        self.records = Records(self.terms(), self.scheduler.now, self.scheduler.after)
         self.records.proves = shape.proves
         self.key, self.key_file = b"key of one run only", os.path.join(self.folder, "key")
         with open(self.key_file, "wb") as file:
--- a/petrellane/lab/records.py
+++ b/petrellane/lab/records.py
@@ -18,6 +18,7 @@
 
 SETTLE = 0.05
 TURNS = 2
+CROSSED = 0.3    # seconds after a client's end in which what it waited for may still reach a host
 MOST = 50_000    # RPCs remembered after their end
 
 @dataclass(eq=False, slots=True)
@@ -32,14 +33,16 @@
 
 
 class Records:
-    """Records of one run, and its referee. `proves` maps a method to the number of the one generation that has it."""
+    """Records of one run, and its referee. `proves` maps a method to the number of the one generation that has it; `gone` an
+    RPC to when its client left it; `after` makes a call after some seconds."""
 
-    def __init__(self, terms, clock, keep=20_000):
+    def __init__(self, terms, clock, after=None, keep=20_000):
         self.referee, self.clock, self.began = referee.Referee(terms), clock, clock()
         self.open, self.kept, self.most = {}, deque(maxlen=keep), keep
         self.pending, self.turns = deque(), 0    # (record, turn) that are still put in order; turns of the rig so far
         self.stood_still = -2 * TURNS    # the turn after which the rig last stood still for longer than SETTLE
         self.counts, self.told, self.proves = {}, [], {}
+        self.gone, self.after = {}, after
 
     def keep_all(self):
         """Keep every record of the run, as it is to be written or counted as a whole."""
@@ -112,6 +115,13 @@
         if told is not None:
             self.take(referee.Answered(self.now(), told[0], rpc, answer))
 
+    def left(self, rpc):
+        """Its client has closed its connection. For the referee that holds from when the gateway has surely seen it: what
+        crossed the end on its way is no fault."""
+        if told := self.open.get(rpc):
+            self.gone[rpc] = self.now()
+            self.after(CROSSED, lambda: self.take(referee.Left(self.now(), told[0], rpc)))
+
     def forget(self, gateway):
         """A gateway was killed: it owes nothing."""
         self.take(referee.Life(self.now(), gateway, "killed"))
