A client that left before it was accepted is not served after a standstill either

Those taken a turn later were read in a turn that no longer counts as having stood still, and the end of their client, which was in the socket by then, is told by the poll after (Client.read). Forced with accepts=1 in left-unread: r6 was sent on, now not. Change: before the first command of a connection its end is looked for, as after a standstill.

--- a/petrellane/gateway/server.py
+++ b/petrellane/gateway/server.py
@@ -311,8 +311,9 @@
         """Take commands that have come whole, a share of a turn; True when there may be more."""
         buffer, at, limits, taken = self.stream.buffer, 0, self.server.limits, 0
         self.here()
-        if buffer and self.server.scheduler.stood_still() and self.stream.left():
-            raise Closed("left while we stood still")
+        waited = self in self.server.silent or self.server.scheduler.stood_still()    # to be accepted, or for us
+        if buffer and waited and self.stream.left():
+            raise Closed("left before it was read")
         try:
             while taken < limits.commands and (found := resp.command(buffer, at, limits)):
                 spans, end = found
--- a/petrellane/lab/clients.py
+++ b/petrellane/lab/clients.py
@@ -137,7 +137,7 @@
             if not leaves:
                 return "late"
             stream.close()
-            self.records.left(rpc)
+            self.records.left(rpc, left - wait)
             return "gone"
         except (Closed, resp.Malformed):
             return "again"
--- a/petrellane/lab/records.py
+++ b/petrellane/lab/records.py
@@ -115,12 +115,12 @@
         if told is not None:
             self.take(referee.Answered(self.now(), told[0], rpc, answer))
 
-    def left(self, rpc):
-        """Its client has closed its connection. For the referee that holds from when the gateway has surely seen it: what
-        crossed the end on its way is no fault."""
+    def left(self, rpc, patience):
+        """Its client has closed its connection, so many seconds before it would have given up. For the referee that holds
+        from when the gateway has surely seen it: what crossed the end on its way is no fault."""
         if told := self.open.get(rpc):
             self.gone[rpc] = self.now()
-            self.after(CROSSED, lambda: self.take(referee.Left(self.now(), told[0], rpc)))
+            self.after(max(0.0, min(CROSSED, patience - SETTLE)), lambda: self.take(referee.Left(self.now(), told[0], rpc)))
 
     def forget(self, gateway):
         """A gateway was killed: it owes nothing."""
