--- a/review/standins.py
+++ b/review/standins.py
@@ -438,7 +438,8 @@
     )
     output, _ = await asyncio.wait_for(process.communicate(), timeout)
     text = output.decode().strip()
-    record.add(f"settings {' '.join(map(str, arguments[:2]))}: exit {process.returncode}")
+    shown = " ".join(Path(str(word)).name for word in arguments[:2])
+    record.add(f"settings {shown}: exit {process.returncode}")
     for line in text.splitlines():
         record.add(f"    {line}")
     return process.returncode, text
