--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,193 +1,150 @@
-"""The old process of a hot restart admits requests under settings that are no longer in force."""
+"""A drain resets the connection of a client that reads slowly, and answers are lost with it."""
 
 import asyncio
-import copy
-import json
-import signal
 import socket
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins import (
     HOST,
-    Client,
     Discovery,
     Host,
-    command,
     free_port,
     gateway_config,
     http,
-    is_served,
     method,
     plan,
     ready,
     request,
     run_case,
     settings,
-    staff,
 )
 
-NAMES = ("g1", "g2", "g3")
-PIECE = 16 * 1024  # bytes that a slow client writes at a time
-BODY_SIZE = 3_900_000  # of at most 4 MiB
-MEMORY_MB = 48  # of 32 to 192; the room for long bodies is an eighth of it
-PIECE_EVERY_S = 0.2
-NEW_CLASS_AFTER_S = 1.2  # clients use a new class so long after the change
-OLD, NEW = "lodge-old", "lodge-new"
-
-
-async def hold_room(client, record, changed):
-    """Write most of a long command, then go on slowly and end it once the change is in force."""
-    data = long_command(1)
-    record.add(f"client 1 begins {1:016x} of class {OLD}, a body of {BODY_SIZE} bytes, in pieces")
-    sent = len(data) - 400 * 1024
-    await client.send(data[:sent])
-    try:
-        while not changed.is_set():
-            await asyncio.sleep(PIECE_EVERY_S)
-            await client.send(data[sent : sent + 1024])
-            sent += 1024
-        await client.send(data[sent:])
-        record.add(f"client 1 ends {1:016x}: {await client.reply()!r}")
-    except (OSError, EOFError):
-        record.add("client 1 finds its connection closed")
-
-
-async def upload(client, record, settled):
-    """Write a long command slowly; when the change has settled, end it with two short ones behind.
-
-    Returns:
-        The three replies.
-    """
-    data = long_command(2)
-    record.add(f"client 2 begins {2:016x} of class {OLD}, a body of {BODY_SIZE} bytes, in pieces")
-    sent = len(data) - 800 * 1024
-    sending = asyncio.create_task(client.send(data[:sent]))
-    while not settled.is_set():
-        await asyncio.sleep(PIECE_EVERY_S)
-        if sending.done() and sent < len(data) - 2 * PIECE:
-            sending = asyncio.create_task(client.send(data[sent : sent + PIECE]))
-            sent += PIECE
-    await sending
-    # Two commands follow whose first byte is sent after the change.
-    last_old, old_rpc = request("SVC.SUBMIT", 3, OLD, "national-chain", 3000, b"sale")
-    last_new, new_rpc = request("SVC.SUBMIT", 4, NEW, "national-chain", 3000, b"sale")
-    while len(data) - sent > PIECE:
-        await client.send(data[sent : sent + PIECE])
-        sent += PIECE
-        await asyncio.sleep(0.01)
-    await client.send(data[sent:] + last_old + last_new)
-    record.add(f"client 2 ends {2:016x}, sends {old_rpc} of class {OLD}, {new_rpc} of class {NEW}")
-    return [await client.reply() for _ in range(3)]
-
-
-def long_command(number):
-    """Return a command with a long body."""
-    customer = f"{0x1000 + number:016x}"
-    return command("SVC.SUBMIT", customer, f"{number:016x}", fields_text(OLD, 6000), bytes(BODY_SIZE))
-
-
-def fields_text(method_name, deadline_ms):
-    """Return the list of names and values of a request."""
-    return f"c={method_name},t=national-chain,d={deadline_ms},units=1,spread=1,first=0"
+REQUESTS = 8
+VALUE_SIZE = 60 * 1024  # of at most 64 KiB
+DRAIN_AFTER_S = 0.6  # all requests have been run and answered by then
+READ_AFTER_S = 2.5  # the client takes so long before it reads
+SEND_EVERY_S = 0.25
+DEADLINE_MS = 6000
+
+
+class LongValues(Host):
+    """A sound host whose values are near the limit of 64 KiB."""
+
+    def value(self, parts):
+        """Return the value made for a request."""
+        return (b"value of %b " % parts[2]).ljust(VALUE_SIZE, b".")
+
+
+class SlowClient:
+    """A client that sends on its connection as long as that is open, and reads after a while."""
+
+    def __init__(self, record, port):
+        self.record = record
+        self.sock = socket.create_connection((HOST, port))
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.number = 0
+        self.first = []
+
+    def send(self):
+        """Send one more request; return its id."""
+        self.number += 1
+        data, rpc = request(
+            "SVC.SUBMIT",
+            self.number,
+            "receipt-lodge",
+            "national-chain",
+            DEADLINE_MS,
+            b"sale",
+            key=f"{self.number:016x}",
+        )
+        self.sock.sendall(data)
+        self.record.add(f"client sends {rpc}")
+        return rpc
+
+    def play(self):
+        """Send, wait and read; return the values that came whole and how the connection ended."""
+        begin = time.monotonic()
+        self.first = [self.send() for _ in range(REQUESTS)]
+        while (left := begin + READ_AFTER_S - time.monotonic()) > 0:
+            time.sleep(min(left, SEND_EVERY_S))
+            try:
+                self.send()
+            except OSError as error:
+                self.record.add(f"client can send no more: {error}")
+                break
+        time.sleep(max(0.0, begin + READ_AFTER_S - time.monotonic()))
+        return self.read(begin + DEADLINE_MS / 1e3 + 0.5)
+
+    def read(self, until):
+        """Read up to the end of the connection or a time."""
+        data = b""
+        end = "it is still open"
+        try:
+            while (left := until - time.monotonic()) > 0:
+                self.sock.settimeout(left)
+                part = self.sock.recv(1 << 16)
+                if not part:
+                    end = "end of the stream"
+                    break
+                data += part
+        except TimeoutError:
+            pass
+        except OSError as error:
+            end = str(error)
+        self.sock.close()
+        replies = []
+        while data:
+            head, _, rest = data.partition(b"\r\n")
+            if head[:1] != b"$":
+                replies.append(head)
+                data = rest
+                continue
+            size = int(head[1:])
+            if len(rest) < size + 2:
+                self.record.add(f"the last value is cut: {len(rest)} bytes of {size}")
+                break
+            replies.append(rest[:size])
+            data = rest[size + 2 :]
+        return replies, end
 
 
 async def play(record, processes, folder, has_trouble):
     """Play the case."""
-    host = await Host(record, "host-1").start()
-    discovery = await Discovery([host]).start()
-    before = settings(
-        [method("rate-lookup", "pure"), method(OLD, "side_effect")],
+    hosts = [await LongValues(record, f"host-{number}").start() for number in (1, 2, 3)]
+    discovery = await Discovery(hosts).start()
+    content = settings(
+        [method("rate-lookup", "pure"), method("receipt-lodge", "token", window_s=4.0)],
         [plan("national-chain")],
-        len(NAMES),
+        1,
     )
-    after = copy.deepcopy(before)
-    after["classes"][1] = method(NEW, "side_effect")
-    (folder / "after.json").write_text(json.dumps(after))
-    (folder / "key").write_text("0123456789abcdef0123456789abcdef\n")
-    listen = {name: free_port() for name in NAMES}
-    management = {name: free_port() for name in (*NAMES, "g1-next")}
-    members = {name: f"{HOST}:{management[name]}" for name in NAMES}
-    members["g1"] = [members["g1"], f"{HOST}:{management['g1-next']}"]
-    held = socket.socket()
-    held.bind((HOST, listen["g1"]))
-    held.listen(1024)
-    held.set_inheritable(True)
-
-    def start(name, log):
-        state = folder / f"state-{name}"
-        state.mkdir(exist_ok=True)
-        agreement = {"key_file": str(folder / "key"), "state": str(state), "members": members}
-        address = f"{HOST}:{management[log]}"
-        config = gateway_config(
-            name, listen[name], discovery, before, management=address, agreement=agreement
-        )
-        environ = {"PROXY_LISTEN_FD": str(held.fileno())} if name == "g1" else {}
-        descriptors = (held.fileno(),) if name == "g1" else ()
-        config["limits"]["memory_mb"] = MEMORY_MB
-        return processes.gateway(name, config, environ, descriptors, log)
-
-    old = start("g1", "g1")
-    for name in ("g2", "g3"):
-        start(name, name)
-    for name in NAMES:
-        await ready(listen[name])
-    rows = "".join(f"{name} = {json.dumps(address)}\n" for name, address in members.items())
-    control = folder / "control.toml"
-    control.write_text(
-        f'name = "control-a"\nlisten = "{HOST}:{free_port()}"\njournal = "control.db"\n'
-        f'key_file = "key"\n\n[gateways]\n{rows}'
+    listen, management = free_port(), free_port()
+    config = gateway_config(
+        "n1", listen, discovery, content, management=f"{HOST}:{management}"
     )
-    processes.control("control", control)
-    for _ in range(20):
-        if "leading" in (await staff(record, control, "status"))[1]:
-            break
-        await asyncio.sleep(0.3)
-
-    first = await Client.connect(listen["g1"])
-    changed = asyncio.Event()
-    holding = asyncio.create_task(hold_room(first, record, changed))
-    await asyncio.sleep(0.3)
-    client = await Client.connect(listen["g1"])
-    settled = asyncio.Event()
-    uploading = asyncio.create_task(upload(client, record, settled))
-    await asyncio.sleep(0.3)
-    if has_trouble:
-        start("g1", "g1-next")
-        for _ in range(120):
-            try:
-                if await http(management["g1-next"], "GET", "/-/ready") == 200:
-                    break
-            except OSError:
-                pass
-            await asyncio.sleep(0.05)
-        else:
-            raise RuntimeError("the next process was not ready within 6 s")
-        record.add("the next process of g1 is ready")
-    code, _ = await staff(record, control, "propose", str(folder / "after.json"))
-    if code:
-        raise RuntimeError("the change was not made")
-    changed_at = record.add("the change is reported as in force at every gateway")
-    changed.set()
-    await staff(record, control, "status")
-    await asyncio.sleep(max(0.0, changed_at + NEW_CLASS_AFTER_S - record.now()))
-    settled.set()
-    replies = await uploading
-    await holding
-    for number, reply in enumerate(replies, 2):
-        record.add(f"reply {number}: {reply!r}")
+    processes.gateway("n1", config)
+    await ready(listen)
+    client = SlowClient(record, listen)
+    playing = asyncio.create_task(asyncio.to_thread(client.play))
+    await asyncio.sleep(DRAIN_AFTER_S)
+    run_before = {rpc.decode() for host in hosts for _, rpc, _, _ in host.runs}
     if has_trouble:
-        processes.kill(old, "the old process of g1", signal.SIGTERM)
-    await asyncio.sleep(0.5)
-    runs = [(round(at, 3), rpc.decode(), name) for at, rpc, name, _ in host.runs]
-    record.add(f"run by the host: {runs}")
-    violations = []
-    if is_served(replies[1]):
-        violations.append(f"{OLD} was admitted {NEW_CLASS_AFTER_S} s after it was gone")
-    if replies[2] == b"-ERR c: no such method":
-        violations.append(f"{NEW} is not known to a process that serves, though in force")
-    return violations
+        status = await http(management, "POST", "/-/drain")
+        record.add(f"POST /-/drain: {status}")
+    replies, end = await playing
+    for reply in replies:
+        record.add(f"client reads {reply.rstrip(b'.')[:60]!r}, {len(reply)} bytes")
+    record.add(f"the connection: {end}")
+    record.add(f"run before the drain: {len(run_before)}, answers read: {len(replies)}")
+    # Only the requests that came before the drain, and that hosts have run, count.
+    lost = [
+        rpc
+        for place, rpc in enumerate(client.first)
+        if rpc in run_before and place >= len(replies)
+    ]
+    return [f"{rpc} was taken and run, and its client got no answer" for rpc in lost]
 
 
 run_case(Path(__file__).resolve().parent, play)
