Review case 2: a repeat is written to its end after its key is forgotten, and runs twice

Cause: at send_by the gateway stops a repeat that is queued, not one whose last bytes it still holds for a host that reads slowly.

Change: the case under review/2. No file of the program changes.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""A drain resets the connection of a client that reads slowly, and answers are lost with it."""
+"""A repeat is written to the end after the hosts have forgotten its key, and has its effect twice."""
 
 import asyncio
+import contextlib
 import socket
 import sys
 import time
@@ -9,142 +10,160 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins import (
     HOST,
+    Client,
     Discovery,
-    Host,
+    Server,
+    command,
+    fields_of,
     free_port,
     gateway_config,
-    http,
     method,
     plan,
     ready,
-    request,
     run_case,
     settings,
+    value_reply,
 )
 
-REQUESTS = 8
-VALUE_SIZE = 60 * 1024  # of at most 64 KiB
-DRAIN_AFTER_S = 0.6  # all requests have been run and answered by then
-READ_AFTER_S = 2.5  # the client takes so long before it reads
-SEND_EVERY_S = 0.25
-DEADLINE_MS = 6000
+WINDOW_S = 4.0  # for which all hosts drop a repeat
+DEADLINE_S = 6.0
+BODY_SIZE = 4_190_000  # of at most 4 MiB
+HOSTS = 9
+HANG_S = 20.0  # the first host answers nothing for so long, of 5.6 to 24 s
+SLOW_UNTIL_S = 4.3  # so long after the first run, the second host reads at full speed
+RECEIVE_BUFFER = 8 * 1024
 
 
-class LongValues(Host):
-    """A sound host whose values are near the limit of 64 KiB."""
+class Hosts:
+    """What all hosts of the group share: the keys that they have seen, and the effects."""
 
-    def value(self, parts):
-        """Return the value made for a request."""
-        return (b"value of %b " % parts[2]).ljust(VALUE_SIZE, b".")
-
-
-class SlowClient:
-    """A client that sends on its connection as long as that is open, and reads after a while."""
-
-    def __init__(self, record, port):
+    def __init__(self, record, has_trouble):
         self.record = record
-        self.sock = socket.create_connection((HOST, port))
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.number = 0
-        self.first = []
-
-    def send(self):
-        """Send one more request; return its id."""
-        self.number += 1
-        data, rpc = request(
-            "SVC.SUBMIT",
-            self.number,
-            "receipt-lodge",
-            "national-chain",
-            DEADLINE_MS,
-            b"sale",
-            key=f"{self.number:016x}",
-        )
-        self.sock.sendall(data)
-        self.record.add(f"client sends {rpc}")
-        return rpc
-
-    def play(self):
-        """Send, wait and read; return the values that came whole and how the connection ended."""
-        begin = time.monotonic()
-        self.first = [self.send() for _ in range(REQUESTS)]
-        while (left := begin + READ_AFTER_S - time.monotonic()) > 0:
-            time.sleep(min(left, SEND_EVERY_S))
-            try:
-                self.send()
-            except OSError as error:
-                self.record.add(f"client can send no more: {error}")
-                break
-        time.sleep(max(0.0, begin + READ_AFTER_S - time.monotonic()))
-        return self.read(begin + DEADLINE_MS / 1e3 + 0.5)
-
-    def read(self, until):
-        """Read up to the end of the connection or a time."""
-        data = b""
-        end = "it is still open"
-        try:
-            while (left := until - time.monotonic()) > 0:
-                self.sock.settimeout(left)
-                part = self.sock.recv(1 << 16)
-                if not part:
-                    end = "end of the stream"
-                    break
-                data += part
-        except TimeoutError:
-            pass
-        except OSError as error:
-            end = str(error)
-        self.sock.close()
-        replies = []
-        while data:
-            head, _, rest = data.partition(b"\r\n")
-            if head[:1] != b"$":
-                replies.append(head)
-                data = rest
-                continue
-            size = int(head[1:])
-            if len(rest) < size + 2:
-                self.record.add(f"the last value is cut: {len(rest)} bytes of {size}")
-                break
-            replies.append(rest[:size])
-            data = rest[size + 2 :]
-        return replies, end
+        self.has_trouble = has_trouble
+        self.seen = {}
+        self.effects = []
+        self.attempts = 0
+
+
+class KeyedHost(Server):
+    """A host of a deduplicated class: it drops a repeat for `WINDOW_S` after the first run."""
+
+    def __init__(self, group, name):
+        super().__init__()
+        self.group = group
+        self.name = name
+
+    async def start(self, port=0):
+        """Listen with a small receive buffer, which a host may have."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.bind((HOST, port or free_port()))
+        self.server = await asyncio.start_server(self._handle, sock=sock, limit=RECEIVE_BUFFER)
+        self.port = sock.getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        while True:
+            count = int((await reader.readuntil(b"\r\n"))[1:])
+            parts = [await self.read_part(reader) for _ in range(count)]
+            await self.run(parts, writer)
+
+    async def read_part(self, reader):
+        """Read one part; the second host reads a long one slowly at first."""
+        size = int((await reader.readuntil(b"\r\n"))[1:]) + 2
+        if size > RECEIVE_BUFFER:
+            slowly = ", slowly" if self.is_slow() else ""
+            self.group.record.add(f"{self.name} begins to read a body{slowly}")
+        pieces = []
+        while size:
+            piece = await reader.read(min(size, RECEIVE_BUFFER))
+            if not piece:
+                raise ConnectionError
+            pieces.append(piece)
+            size -= len(piece)
+            if self.is_slow():
+                await asyncio.sleep(0.1)
+        return b"".join(pieces)[:-2]
+
+    def is_slow(self):
+        """Return whether this host reads slowly now: once another one has run the request."""
+        group = self.group
+        if not group.has_trouble or not group.effects:
+            return False
+        at, name = group.effects[0]
+        return name != self.name and group.record.now() < at + SLOW_UNTIL_S
+
+    async def run(self, parts, writer):
+        """Run a request, unless its key is remembered, and answer it."""
+        group = self.group
+        fields = fields_of(parts[3])
+        now = group.record.now()
+        group.attempts += 1
+        key = fields["k"]
+        rpc = parts[2].decode()
+        if now < group.seen.get(key, 0.0):
+            group.record.add(f"{self.name} gets {rpc} whole, d={fields['d']}: drops the repeat")
+        else:
+            group.seen[key] = now + WINDOW_S
+            group.record.add(f"{self.name} gets {rpc} whole, d={fields['d']}: runs it")
+            group.effects.append((now, self.name))
+        if group.has_trouble and group.attempts == 1:
+            group.record.add(f"{self.name} hangs: it answers nothing")
+            await asyncio.sleep(HANG_S)
+            raise ConnectionError
+        writer.write(value_reply(b"value of " + parts[2]))
+
+
+def system_holds():
+    """Return the bytes that the system takes for a host that does not read yet."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    listener.bind((HOST, 0))
+    listener.listen()
+    with listener, socket.create_connection(listener.getsockname()) as sock:
+        sock.setblocking(False)
+        taken = 0
+        end = time.monotonic() + 1.0
+        while time.monotonic() < end:
+            with contextlib.suppress(BlockingIOError):
+                taken += sock.send(bytes(BODY_SIZE))
+            time.sleep(0.01)
+    return taken
 
 
 async def play(record, processes, folder, has_trouble):
     """Play the case."""
-    hosts = [await LongValues(record, f"host-{number}").start() for number in (1, 2, 3)]
+    held = system_holds()
+    record.add(f"the system holds {held} bytes of {BODY_SIZE} for a host that does not read")
+    if held >= BODY_SIZE - 64 * 1024:
+        raise RuntimeError("the system holds whole commands here: the case shows nothing")
+    group = Hosts(record, has_trouble)
+    hosts = [await KeyedHost(group, f"host-{number}").start() for number in range(1, HOSTS + 1)]
     discovery = await Discovery(hosts).start()
     content = settings(
-        [method("rate-lookup", "pure"), method("receipt-lodge", "token", window_s=4.0)],
+        [
+            method("rate-lookup", "pure", deadline_s=4.0, objective_s=1.0),
+            method("receipt-lodge", "token", window_s=WINDOW_S, deadline_s=DEADLINE_S),
+        ],
         [plan("national-chain")],
         1,
     )
-    listen, management = free_port(), free_port()
-    config = gateway_config(
-        "n1", listen, discovery, content, management=f"{HOST}:{management}"
-    )
-    processes.gateway("n1", config)
+    listen = free_port()
+    processes.gateway("n1", gateway_config("n1", listen, discovery, content))
     await ready(listen)
-    client = SlowClient(record, listen)
-    playing = asyncio.create_task(asyncio.to_thread(client.play))
-    await asyncio.sleep(DRAIN_AFTER_S)
-    run_before = {rpc.decode() for host in hosts for _, rpc, _, _ in host.runs}
-    if has_trouble:
-        status = await http(management, "POST", "/-/drain")
-        record.add(f"POST /-/drain: {status}")
-    replies, end = await playing
-    for reply in replies:
-        record.add(f"client reads {reply.rstrip(b'.')[:60]!r}, {len(reply)} bytes")
-    record.add(f"the connection: {end}")
-    record.add(f"run before the drain: {len(run_before)}, answers read: {len(replies)}")
-    # Only the requests that came before the drain, and that hosts have run, count.
-    lost = [
-        rpc
-        for place, rpc in enumerate(client.first)
-        if rpc in run_before and place >= len(replies)
-    ]
-    return [f"{rpc} was taken and run, and its client got no answer" for rpc in lost]
+    client = await Client.connect(listen)
+    fields = f"c=receipt-lodge,t=national-chain,d={int(DEADLINE_S * 1e3)},k=5c0f6e1a2b3d4c59"
+    record.add(f"client sends {1:016x} with a body of {BODY_SIZE} bytes")
+    reply = await client.ask(
+        command("SVC.SUBMIT", f"{0x1001:016x}", f"{1:016x}", fields, bytes(BODY_SIZE)),
+        DEADLINE_S + 2.0,
+    )
+    record.add(f"client reads {reply!r}")
+    await asyncio.sleep(1.0)
+    if len(group.effects) > 1:
+        times = ", ".join(f"{at:.3f} s at {name}" for at, name in group.effects)
+        return [f"{1:016x} had its effect {len(group.effects)} times: {times}"]
+    return []
 
 
 run_case(Path(__file__).resolve().parent, play)
