--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A drain resets the connection of a client that reads slowly, and answers are lost with it."""
+"""The connection of a client that reads slowly is closed as idle, and its answer is cut off."""
 
 import asyncio
 import socket
@@ -13,7 +13,6 @@
     Host,
     free_port,
     gateway_config,
-    http,
     method,
     plan,
     ready,
@@ -22,16 +21,15 @@
     settings,
 )
 
-REQUESTS = 8
-VALUE_SIZE = 60 * 1024  # of at most 64 KiB
-DRAIN_AFTER_S = 0.6  # all requests have been run and answered by then
-READ_AFTER_S = 2.5  # the client takes so long before it reads
-SEND_EVERY_S = 0.25
+CLIENTS = 4
+VALUE_SIZE = 300_000  # of at most 4 MiB
+READ_AFTER_S = 3.0  # a slow client takes so long before it reads
+NEXT_AFTER_S = 2.9  # when the next request goes out on the same connection
 DEADLINE_MS = 6000
 
 
 class LongValues(Host):
-    """A sound host whose values are near the limit of 64 KiB."""
+    """A sound host that gives long values, each at once and whole."""
 
     def value(self, parts):
         """Return the value made for a request."""
@@ -39,112 +37,99 @@
 
 
 class SlowClient:
-    """A client that sends on its connection as long as that is open, and reads after a while."""
+    """A client that asks once, and a while later once more on the same connection.
 
-    def __init__(self, record, port):
+    It has no other fault: it waits for its answers to the end of their time. With `reads_late` it
+    takes some seconds before it reads.
+    """
+
+    def __init__(self, record, port, number, *, reads_late):
         self.record = record
-        self.sock = socket.create_connection((HOST, port))
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.number = 0
-        self.first = []
-
-    def send(self):
-        """Send one more request; return its id."""
-        self.number += 1
+        self.port = port
+        self.number = number
+        self.reads_late = reads_late
+        self.data = b""
+        self.end = "still open"
+
+    def play(self):
+        """Play the client; return the id of its first request and whether its value came whole."""
+        begin = time.monotonic()
+        with socket.create_connection((HOST, self.port)) as sock:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            first = self.send(sock, self.number)
+            if not self.reads_late:
+                self.read(sock, begin + NEXT_AFTER_S)
+            time.sleep(max(0.0, begin + NEXT_AFTER_S - time.monotonic()))
+            try:
+                self.send(sock, self.number + 100)
+            except OSError as error:
+                self.record.add(f"client {self.number} can't send: {error}")
+            time.sleep(max(0.0, begin + READ_AFTER_S - time.monotonic()))
+            self.read(sock, begin + DEADLINE_MS / 1e3 + 0.5)
+        head, _, rest = self.data.partition(b"\r\n")
+        is_whole = head == b"$%d" % VALUE_SIZE and len(rest) >= VALUE_SIZE + 2
+        self.record.add(
+            f"client {self.number} has read {head[:60]!r} and {len(rest)} bytes; its connection: "
+            f"{self.end}"
+        )
+        return first, is_whole
+
+    def send(self, sock, number):
+        """Send a request; return its id."""
         data, rpc = request(
             "SVC.SUBMIT",
-            self.number,
+            number,
             "receipt-lodge",
             "national-chain",
             DEADLINE_MS,
             b"sale",
-            key=f"{self.number:016x}",
+            key=f"{number:016x}",
         )
-        self.sock.sendall(data)
-        self.record.add(f"client sends {rpc}")
+        sock.sendall(data)
+        self.record.add(f"client {self.number} sends {rpc}")
         return rpc
 
-    def play(self):
-        """Send, wait and read; return the values that came whole and how the connection ended."""
-        begin = time.monotonic()
-        self.first = [self.send() for _ in range(REQUESTS)]
-        while (left := begin + READ_AFTER_S - time.monotonic()) > 0:
-            time.sleep(min(left, SEND_EVERY_S))
-            try:
-                self.send()
-            except OSError as error:
-                self.record.add(f"client can send no more: {error}")
-                break
-        time.sleep(max(0.0, begin + READ_AFTER_S - time.monotonic()))
-        return self.read(begin + DEADLINE_MS / 1e3 + 0.5)
-
-    def read(self, until):
-        """Read up to the end of the connection or a time."""
-        data = b""
-        end = "it is still open"
+    def read(self, sock, until):
+        """Read up to the end of the connection, or a time."""
         try:
             while (left := until - time.monotonic()) > 0:
-                self.sock.settimeout(left)
-                part = self.sock.recv(1 << 16)
+                sock.settimeout(left)
+                part = sock.recv(1 << 16)
                 if not part:
-                    end = "end of the stream"
+                    self.end = "ended by the api gateway"
                     break
-                data += part
+                self.data += part
         except TimeoutError:
             pass
         except OSError as error:
-            end = str(error)
-        self.sock.close()
-        replies = []
-        while data:
-            head, _, rest = data.partition(b"\r\n")
-            if head[:1] != b"$":
-                replies.append(head)
-                data = rest
-                continue
-            size = int(head[1:])
-            if len(rest) < size + 2:
-                self.record.add(f"the last value is cut: {len(rest)} bytes of {size}")
-                break
-            replies.append(rest[:size])
-            data = rest[size + 2 :]
-        return replies, end
+            self.end = str(error)
+        finally:
+            sock.settimeout(None)
 
 
 async def play(record, processes, folder, has_trouble):
     """Play the case."""
-    hosts = [await LongValues(record, f"host-{number}").start() for number in (1, 2, 3)]
+    hosts = [await LongValues(record, f"host-{number}").start() for number in range(1, 10)]
     discovery = await Discovery(hosts).start()
     content = settings(
         [method("rate-lookup", "pure"), method("receipt-lodge", "token", window_s=4.0)],
         [plan("national-chain")],
         1,
     )
-    listen, management = free_port(), free_port()
-    config = gateway_config(
-        "n1", listen, discovery, content, management=f"{HOST}:{management}"
-    )
-    processes.gateway("n1", config)
+    listen = free_port()
+    processes.gateway("n1", gateway_config("n1", listen, discovery, content))
     await ready(listen)
-    client = SlowClient(record, listen)
-    playing = asyncio.create_task(asyncio.to_thread(client.play))
-    await asyncio.sleep(DRAIN_AFTER_S)
-    run_before = {rpc.decode() for host in hosts for _, rpc, _, _ in host.runs}
-    if has_trouble:
-        status = await http(management, "POST", "/-/drain")
-        record.add(f"POST /-/drain: {status}")
-    replies, end = await playing
-    for reply in replies:
-        record.add(f"client reads {reply.rstrip(b'.')[:60]!r}, {len(reply)} bytes")
-    record.add(f"the connection: {end}")
-    record.add(f"run before the drain: {len(run_before)}, answers read: {len(replies)}")
-    # Only the requests that came before the drain, and that hosts have run, count.
-    lost = [
-        rpc
-        for place, rpc in enumerate(client.first)
-        if rpc in run_before and place >= len(replies)
+    clients = [
+        SlowClient(record, listen, number, reads_late=has_trouble)
+        for number in range(1, CLIENTS + 1)
     ]
-    return [f"{rpc} was taken and run, and its client got no answer" for rpc in lost]
+    results = await asyncio.gather(*(asyncio.to_thread(client.play) for client in clients))
+    run = {rpc.decode() for host in hosts for _, rpc, _, _ in host.runs}
+    violations = []
+    for first, is_whole in results:
+        if first in run and not is_whole:
+            violations.append(f"{first} was taken and run, and its client got no whole answer")
+    return violations
 
 
 run_case(Path(__file__).resolve().parent, play)
