Review cases 2 and 3: what a host's or client's machine holds no longer depends on defaults

Cause: both cases relied on the sizes of buffers that loopback and this system give by themselves.

Change: hosts of case 2 use segments of an ordinary network and a body of 3 MB, clients of case 3 a receive buffer of 64 KiB. No file of the program changes.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,11 +27,13 @@
 
 WINDOW_S = 4.0  # for which all hosts drop a repeat
 DEADLINE_S = 6.0
-BODY_SIZE = 4_190_000  # of at most 4 MiB
+BODY_SIZE = 3_000_000  # of at most 4 MiB
 HOSTS = 9
 HANG_S = 20.0  # the first host answers nothing for so long, of 5.6 to 24 s
 SLOW_UNTIL_S = 4.3  # so long after the first run, the second host reads at full speed
-RECEIVE_BUFFER = 8 * 1024
+RECEIVE_BUFFER = 64 * 1024
+SLOW_PIECE = 8 * 1024  # bytes that a slow host reads every 0.1 s
+SEGMENT = 1460  # bytes of a TCP segment on an ordinary network; loopback has 64 KiB
 
 
 class Hosts:
@@ -54,10 +56,8 @@
         self.name = name
 
     async def start(self, port=0):
-        """Listen with a small receive buffer, which a host may have."""
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        sock.bind((HOST, port or free_port()))
+        """Listen with the segments and the buffer of a host on a network."""
+        sock = host_socket(port or free_port())
         self.server = await asyncio.start_server(self._handle, sock=sock, limit=RECEIVE_BUFFER)
         self.port = sock.getsockname()[1]
         return self
@@ -76,12 +76,13 @@
             self.group.record.add(f"{self.name} begins to read a body{slowly}")
         pieces = []
         while size:
-            piece = await reader.read(min(size, RECEIVE_BUFFER))
+            is_slow = self.is_slow()
+            piece = await reader.read(min(size, SLOW_PIECE if is_slow else RECEIVE_BUFFER))
             if not piece:
                 raise ConnectionError
             pieces.append(piece)
             size -= len(piece)
-            if self.is_slow():
+            if is_slow:
                 await asyncio.sleep(0.1)
         return b"".join(pieces)[:-2]
 
@@ -114,11 +115,18 @@
         writer.write(value_reply(b"value of " + parts[2]))
 
 
+def host_socket(port):
+    """Return a bound socket of a host."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT)
+    sock.bind((HOST, port))
+    return sock
+
+
 def system_holds():
     """Return the bytes that the system takes for a host that does not read yet."""
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-    listener.bind((HOST, 0))
+    listener = host_socket(free_port())
     listener.listen()
     with listener, socket.create_connection(listener.getsockname()) as sock:
         sock.setblocking(False)
@@ -135,7 +143,7 @@
     """Play the case."""
     held = system_holds()
     record.add(f"the system holds {held} bytes of {BODY_SIZE} for a host that does not read")
-    if held >= BODY_SIZE - 64 * 1024:
+    if held >= BODY_SIZE // 2:
         raise RuntimeError("the system holds whole commands here: the case shows nothing")
     group = Hosts(record, has_trouble)
     hosts = [await KeyedHost(group, f"host-{number}").start() for number in range(1, HOSTS + 1)]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,6 +26,7 @@
 READ_AFTER_S = 3.0  # a slow client takes so long before it reads
 NEXT_AFTER_S = 2.9  # when the next request goes out on the same connection
 DEADLINE_MS = 6000
+RECEIVE_BUFFER = 64 * 1024  # what a client's machine holds for it; with the default it is the same
 
 
 class LongValues(Host):
@@ -54,7 +55,9 @@
     def play(self):
         """Play the client; return the id of its first request and whether its value came whole."""
         begin = time.monotonic()
-        with socket.create_connection((HOST, self.port)) as sock:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+            sock.connect((HOST, self.port))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             first = self.send(sock, self.number)
             if not self.reads_late:
