--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import random
@@ -365,6 +366,15 @@
 # The project's processes.
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1  # of linux/prctl.h
+
+
+def end_with_parent():
+    """Have the system kill this process when the case ends, however it ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def run_line():
     """Return the line of the deploy file that starts one gateway."""
     with open(ROOT / "deploy" / "balancer.toml", "rb") as file:
@@ -389,6 +399,7 @@
             stdout=log,
             stderr=log,
             pass_fds=descriptors,
+            preexec_fn=end_with_parent,
         )
         log.close()
         self.started.append(process)
@@ -435,6 +446,7 @@
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
+        preexec_fn=end_with_parent,
     )
     output, _ = await asyncio.wait_for(process.communicate(), timeout)
     text = output.decode().strip()
