Stop a retry whose last byte is not written when its key expires

Cause: send_by limited when an attempt begins to be written. EndpointPools._on_timer ended only attempts still queued; one handed to its stream counted as sent, though the gateway still held 2.2 of 3 MB for an endpoint that read slowly. An endpoint runs a command once its last byte has come, here 4.3 s after the first run with a window of 4 s. The same held for an attempt given up behind another on its connection: its rest went out.

Change: at send_by a partly written attempt ends NEVER_SENT, its rest is dropped and the RPC is answered at once, also where another attempt keeps the connection open. Stream.write_deadline keeps the socket event of the turn after a stall from writing before the timer fires. An attempt that is abandoned while partly written is never completed.

Why it works: no byte of the attempt is handed to the kernel after send_by, which is 0.1 s before the key expires.

--- a/petrellane/gateway/endpoint_connection.py
+++ b/petrellane/gateway/endpoint_connection.py
@@ -33,6 +33,10 @@
     from petrellane.gateway.endpoint_pool import EndpointPool
     from petrellane.net.scheduler import Timer
 
+# The outcomes that are reported when an attempt is abandoned, before its connection ends: a late
+# attempt is not retried, and one that was never sent completely cannot have run.
+FINAL_WHEN_ABANDONED = (LATE, NEVER_SENT)
+
 # Reply types, by their first byte.
 ARRAY = ord("*")
 ERROR_LINE = ord("-")
@@ -147,6 +151,7 @@
         pending.connection = self
         pending.end_offset = None
         self.in_flight.append(pending)
+        self.stream.write_deadline = pending.attempt.send_by
         self.stream.write(*pending.request.encode(pending.deadline - now))
         pending.end_offset = self.stream.bytes_queued
 
@@ -288,26 +293,33 @@
     def end(self) -> None:
         """Close the connection and report the attempts in flight.
 
-        The outcome of a completely sent attempt is `abandoned_as` if that is set, else `RESET`. For
-        any other attempt it is `NEVER_SENT` if `abandoned_as` is `NEVER_SENT`, else `UNREACHABLE`.
+        The outcome of a completely written attempt is `abandoned_as` if that is set, else `RESET`.
+        For any other attempt it is `NEVER_SENT` if `abandoned_as` is `NEVER_SENT`, else
+        `UNREACHABLE`.
         """
         if self.is_ended:
             return
         self.is_ended = True
+        in_flight = self.in_flight
+        self.in_flight = deque()
         self.stream.close()
         if self.relay:
             self.relay.fail()
-        in_flight = self.in_flight
-        self.in_flight = deque()
         self.pool.remove(self)
         for pending in in_flight:
-            is_fully_sent = (
-                pending.end_offset is not None and pending.end_offset <= self.stream.bytes_sent
-            )
-            outcome: Outcome = RESET if is_fully_sent else UNREACHABLE
-            if pending.abandoned_as and (is_fully_sent or pending.abandoned_as == NEVER_SENT):
-                outcome = pending.abandoned_as
-            self.pool.pools.report(pending, outcome)
+            self.pool.pools.report(pending, self._outcome_at_end(pending))
+
+    def _outcome_at_end(self, pending: PendingAttempt) -> Outcome:
+        """Return the outcome of an attempt that is in flight when the connection ends."""
+        if pending.abandoned_as == NEVER_SENT:
+            return NEVER_SENT
+        if pending.end_offset is None or self.is_partly_written(pending):
+            return UNREACHABLE
+        return pending.abandoned_as or RESET
+
+    def is_partly_written(self, pending: PendingAttempt) -> bool:
+        """Return whether the kernel has not accepted the last byte of a written attempt yet."""
+        return pending.end_offset is not None and pending.end_offset > self.stream.bytes_sent
 
     def give_up(self, pending: PendingAttempt, outcome: Outcome) -> None:
         """Abandon an attempt that the endpoint has not replied to.
@@ -323,12 +335,14 @@
     def abandon(self, pending: PendingAttempt, outcome: Outcome) -> None:
         """Abandon an attempt and leave idle connections to the endpoint open.
 
-        The connection takes no further attempts, and ends when all its attempts are abandoned.
+        The endpoint never receives an attempt that is partly written. The connection takes no
+        further attempts, and ends when all its attempts are abandoned.
         """
         pending.abandoned_as = outcome
         self.is_draining = True
+        if self.is_partly_written(pending):
+            self.stream.unsent.clear()  # holds no later attempt: see can_pipeline
         if self.is_abandoned():
             self.end()
-        elif outcome == LATE:
-            # A late attempt is not retried, so its outcome need not wait for the connection.
+        elif outcome in FINAL_WHEN_ABANDONED:
             self.pool.pools.report(pending, outcome)
--- a/petrellane/gateway/endpoint_pools.py
+++ b/petrellane/gateway/endpoint_pools.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from petrellane.decisions.types import CANCELLED, LATE, NEVER_SENT, READY, UNREACHABLE
-from petrellane.gateway.endpoint_connection import PendingAttempt
+from petrellane.gateway.endpoint_connection import FINAL_WHEN_ABANDONED, PendingAttempt
 from petrellane.gateway.endpoint_pool import EndpointPool
 
 if TYPE_CHECKING:
@@ -119,13 +119,15 @@
     def _on_timer(self, pending: PendingAttempt) -> None:
         """Handle the expiry of an attempt's deadline or of its `send_by` time.
 
-        At the deadline, the attempt is given up as `LATE`. At an earlier `send_by`, an attempt that
-        is still queued ends `NEVER_SENT`, and one that has been written keeps its deadline.
+        At the deadline, the attempt is given up as `LATE`. An attempt that is not written
+        completely at an earlier `send_by` ends `NEVER_SENT`.
         """
         if pending.attempt.send_by >= pending.deadline:
             self._give_up(pending, LATE)
         elif self._remove_from_queue(pending):
             self.report(pending, NEVER_SENT)
+        elif pending.connection and pending.connection.is_partly_written(pending):
+            self._give_up(pending, NEVER_SENT)
         else:
             time_left = pending.deadline - self.scheduler.now()
             pending.timer = self.scheduler.call_later(
@@ -188,12 +190,7 @@
             if connection is None:
                 if self._remove_from_queue(pending):
                     self.scheduler.call_soon(self.report, pending, NEVER_SENT)
-            elif (
-                pending.end_offset is not None
-                and pending.end_offset > connection.stream.bytes_sent
-                and not pending.abandoned_as
-            ):
-                connection.stream.unsent.clear()  # holds no later attempt: see can_pipeline
+            elif connection.is_partly_written(pending) and not pending.abandoned_as:
                 connection.give_up(pending, NEVER_SENT)
             elif may_cancel:
                 self.scheduler.call_soon(self._cancel_without_reply, pending)
@@ -214,7 +211,9 @@
             self._give_up(pending, LATE)
 
     def _give_up(self, pending: PendingAttempt, outcome: Outcome) -> None:
-        """Give up an attempt, unless it has been given up or its response is being relayed.
+        """Give up an attempt, unless its response is being relayed.
+
+        An attempt that has been given up already gets the new outcome if that is final.
 
         Args:
             pending: The attempt.
@@ -223,7 +222,7 @@
         """
         if pending.attempt not in self.pending_attempts or pending.is_relaying:
             return
-        if pending.abandoned_as and outcome != LATE:
+        if pending.abandoned_as and outcome not in FINAL_WHEN_ABANDONED:
             return
         if pending.connection:
             pending.connection.give_up(pending, outcome)
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -8,6 +8,7 @@
 import contextlib
 import errno
 import itertools
+import math
 import select
 import socket
 from collections import deque
@@ -97,6 +98,7 @@
         unsent: The queued buffers that the socket has not accepted yet.
         bytes_queued: The total number of bytes queued for writing.
         bytes_sent: The total number of bytes written to the socket.
+        write_deadline: The Unix time from which on queued bytes are not written any more.
         reader: The greenlet that waits for bytes; None where there is none.
         broken: The error that ended the stream; None while the stream is usable.
         is_broken_by_write: Whether a write broke the stream, in which case bytes that arrived
@@ -134,6 +136,7 @@
         self.unsent: deque[memoryview] = deque()
         self.bytes_queued = 0
         self.bytes_sent = 0
+        self.write_deadline = math.inf
         self.reader: Any = None  # a greenlet
         self.broken: Closed | None = None
         self.is_broken_by_write = False
@@ -290,9 +293,9 @@
             self.flush()
 
     def flush(self) -> None:
-        """Write queued bytes until the socket would block."""
+        """Write queued bytes until the socket would block; write none after `write_deadline`."""
         try:
-            while self.unsent:
+            while self.unsent and not self._is_past_write_deadline():
                 self._send_some()
         except BlockingIOError:
             pass
@@ -305,6 +308,10 @@
         if self.on_flushed:
             self.on_flushed()
 
+    def _is_past_write_deadline(self) -> bool:
+        deadline = self.write_deadline
+        return deadline < math.inf and bool(self.scheduler.now() >= deadline)
+
     def _send_some(self) -> None:
         """Call `sendmsg` once and remove the bytes that it accepted from the queue."""
         taken = self.sock.sendmsg(list(itertools.islice(self.unsent, self.limits.buffers_per_send)))
--- a/tests/integration/gateway/client_steps.py
+++ b/tests/integration/gateway/client_steps.py
@@ -104,11 +104,14 @@
             client.sock.send(data[index : index + 1])
             self.turn()
 
-    def do_begin(self, name: str, size: str) -> None:
+    def do_begin(self, name: str, size: str, method: str = "post", *words: str) -> None:
         """Send half of a command, with the id `begun`, that has a body of `size` bytes."""
         body_size = int(size)
-        fields = b"c=post,t=basic,d=3000,units=1,spread=1,first=0"
-        parts = [b"SVC.SUBMIT", b"%016x" % 7, BEGUN.encode(), fields, b"x" * body_size]
+        options = {"d": "3000", "units": "1", "spread": "1", "first": "0", **as_options(words)}
+        fields = f"c={method},t=basic"
+        for key, value in options.items():
+            fields += f",{key}={value}"
+        parts = [b"SVC.SUBMIT", b"%016x" % 7, BEGUN.encode(), fields.encode(), b"x" * body_size]
         self.sent[BEGUN] = parts
         data = resp.encode_command(*parts)
         self.unsent_half = data[body_size // 2 :]
