Reset connections of abandoned attempts that the kernel would deliver

What callers saw: nothing; an attempt that the gateway had given up could run long after, when no endpoint knew its key, and so have its effect twice.

Cause: the gateway took a byte for sent once its own kernel had it, and close() leaves the rest to the kernel, which delivers it to an endpoint that reads slowly, or that a partition hid, whenever that takes it. Evidence: scenario abandoned-attempt-kernel on the code before: the endpoint has the whole command after the outcome `late` and the client's answer; idempotency-key-window-kernel: a retry that the kernel had accepted is still on its way when the key has expired.

Change: Stream.unacknowledged_bytes (SIOCOUTQ; 0 where the system can't tell) and Stream.abort. A connection that ends with unanswered attempts is reset if bytes are unacknowledged.

Why it works: a reset drops the kernel's queue, and what the endpoint has not acknowledged by then never completes. The outcome stays one that may have run, as an acknowledgement can be lost.

--- a/petrellane/gateway/endpoint_connection.py
+++ b/petrellane/gateway/endpoint_connection.py
@@ -295,14 +295,17 @@
 
         The outcome of a completely written attempt is `abandoned_as` if that is set, else `RESET`.
         For any other attempt it is `NEVER_SENT` if `abandoned_as` is `NEVER_SENT`, else
-        `UNREACHABLE`.
+        `UNREACHABLE`. The kernel delivers nothing more of these attempts.
         """
         if self.is_ended:
             return
         self.is_ended = True
         in_flight = self.in_flight
         self.in_flight = deque()
-        self.stream.close()
+        if in_flight:
+            self.stream.abort()
+        else:
+            self.stream.close()
         if self.relay:
             self.relay.fail()
         self.pool.remove(self)
@@ -321,6 +324,11 @@
         """Return whether the kernel has not accepted the last byte of a written attempt yet."""
         return pending.end_offset is not None and pending.end_offset > self.stream.bytes_sent
 
+    def is_delivered(self, pending: PendingAttempt) -> bool:
+        """Return whether the endpoint has acknowledged the last byte of a written attempt."""
+        acknowledged = self.stream.bytes_sent - self.stream.unacknowledged_bytes()
+        return pending.end_offset is not None and pending.end_offset <= acknowledged
+
     def give_up(self, pending: PendingAttempt, outcome: Outcome) -> None:
         """Abandon an attempt that the endpoint has not replied to.
 
--- a/petrellane/gateway/endpoint_pools.py
+++ b/petrellane/gateway/endpoint_pools.py
@@ -129,11 +129,24 @@
         elif pending.connection and pending.connection.is_partly_written(pending):
             self._give_up(pending, NEVER_SENT)
         else:
-            time_left = pending.deadline - self.scheduler.now()
             pending.timer = self.scheduler.call_later(
-                time_left, partial(self._give_up, pending, LATE)
+                self.limits.acknowledgement_delay, partial(self._check_delivery, pending)
             )
 
+    def _check_delivery(self, pending: PendingAttempt) -> None:
+        """Stop a written attempt that its endpoint has not acknowledged soon after `send_by`.
+
+        The kernel would deliver it later, perhaps after the idempotency key has expired. As the
+        endpoint may have received it all the same, it ends `CANCELLED`.
+        """
+        connection = pending.connection
+        if connection and not connection.is_delivered(pending):
+            self._give_up(pending, CANCELLED)
+            connection.end()
+            return
+        time_left = pending.deadline - self.scheduler.now()
+        pending.timer = self.scheduler.call_later(time_left, partial(self._give_up, pending, LATE))
+
     @staticmethod
     def _remove_from_queue(pending: PendingAttempt) -> bool:
         """Remove an attempt from the queue of its pool; return False if it is not queued."""
--- a/petrellane/net/limits.py
+++ b/petrellane/net/limits.py
@@ -107,6 +107,7 @@
     connections_per_endpoint: int = 48  # maximum connections to one endpoint
     # A connection is not reused for this long after a reply if another connection is available.
     reuse_delay: float = 0.01
+    acknowledgement_delay: float = 0.05  # a peer's kernel may delay an acknowledgement this long
     counter_connections: int = 8  # maximum connections to the counter
     counter_idle_timeout: float = 4.0  # the counter closes idle connections after at most 10 s
     check_interval: float = 1.0  # time between checks for idle or stalled connections
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -7,10 +7,14 @@
 
 import contextlib
 import errno
+import fcntl
 import itertools
 import math
 import select
 import socket
+import struct
+import sys
+import termios
 from collections import deque
 from collections.abc import Callable, Iterator
 from typing import Any, Self
@@ -27,6 +31,7 @@
 PEER_CLOSED = (
     select.POLLRDHUP
 )  # the peer shut down its sending side; also reported while data is unread
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, zero seconds
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -365,6 +370,18 @@
         elif self.on_connection_lost:
             self.on_connection_lost()
 
+    def unacknowledged_bytes(self) -> int:
+        """Return how many bytes the kernel has accepted but the peer has not acknowledged.
+
+        The kernel holds them until the peer's kernel has room for them. The number is 0 where the
+        system cannot tell.
+        """
+        try:
+            queued = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+        except (OSError, ValueError):  # the socket is closed, or has no such queue
+            return 0
+        return int.from_bytes(queued, sys.byteorder)
+
     def is_closed_by_peer(self) -> bool:
         """Return whether the peer has shut down its sending side, even if no poll reported it."""
         poll = select.poll()
@@ -408,6 +425,19 @@
                     break
         self.release()
 
+    def abort(self) -> None:
+        """Close the connection so that the kernel sends nothing more.
+
+        After `close` the kernel goes on delivering the bytes that the peer has not acknowledged. If
+        there are any, this method has the kernel drop them and reset the connection.
+        """
+        if not self.unacknowledged_bytes():
+            self.close()
+            return
+        with contextlib.suppress(OSError):  # the connection is over
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.release()
+
     def release(self) -> None:
         """Close the descriptor without shutting down the sending side first.
 
--- a/tests/integration/gateway/endpoint_steps.py
+++ b/tests/integration/gateway/endpoint_steps.py
@@ -23,12 +23,15 @@
         self.deaf_is_reading = True
 
     def endpoint_peers(self) -> list[Peer]:
-        """Return the open connections from the gateway to endpoints."""
+        """Return the connections from the gateway to endpoints, also those that have ended."""
         others = ("counter", "discovery")
-        return [peer for peer in self.peers if not peer.ended and not peer.role.startswith(others)]
+        return [peer for peer in self.peers if not peer.role.startswith(others)]
 
     def receive(self, rpc: str) -> list[tuple[Peer, list[bytes]]]:
-        """Parse the complete commands at all endpoints; return those of one RPC."""
+        """Parse the complete commands at all endpoints; return those of one RPC.
+
+        A command counts also if the gateway has closed the connection behind it.
+        """
         for peer in self.endpoint_peers():
             while parsed := peer.parse(resp.parse_command, self.gateway.limits):
                 (spans, _), data = parsed
--- a/tests/integration/gateway/race_steps.py
+++ b/tests/integration/gateway/race_steps.py
@@ -60,9 +60,7 @@
     def do_host_bytes_at_close(self, name: str, *text: str) -> None:
         """Let bytes of an endpoint arrive when the gateway closes its idle connections."""
         data = unescape(" ".join(text))
-        peers = {
-            peer.sock.getpeername(): peer for peer in self.endpoint_peers() if peer.role == name
-        }
+        peers = {peer.sock.getpeername(): peer for peer in self.connections_to(name)}
         for pool in self.gateway.endpoint_pools.pools.values():
             for connection in pool.idle:
                 stream = connection.stream
--- a/tests/integration/gateway/sockets.py
+++ b/tests/integration/gateway/sockets.py
@@ -39,10 +39,14 @@
         self.watch_request = b""
 
     def read(self) -> None:
-        """Read all bytes that have arrived."""
+        """Read all bytes that have arrived, and acknowledge them without the kernel's delay.
+
+        The scenario's clock is faster than that of the kernel.
+        """
         try:
             while not self.ended and (data := self.sock.recv(READ_SIZE)):
                 self.buffer += data
+                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
             self.ended = True
         except BlockingIOError:
             pass
