Keep a client's socket open until its kernel has received all replies

Cause: a reply counted as sent once the gateway's kernel had accepted it. _wait_for_input and is_idle took such a connection for idle and closed it half a second after the shutdown, which the client can't see behind the answer. What it sends next is answered by a reset, and the kernel drops what it still holds. Eviction, drain, SIGTERM, the end after an error, a value that broke off (_close_when_sent) and the eviction of half commands shared it. Evidence: the record of the case (128,462 bytes read, then ECONNRESET 100 ms after the second request), and the scenarios on the code before.

Change: Stream.has_delivered_all asks the kernel (SIOCOUTQ), once for what was written last. Until it holds a connection is neither idle nor evicted; where a drain, SIGTERM or an error ends it, our side is shut down as before, but the socket closes half a second after the last acknowledgement.

Why it works: the kernel resets a connection only where the socket is gone, and it goes only when nothing is left in its queue.

--- a/petrellane/gateway/client_connection.py
+++ b/petrellane/gateway/client_connection.py
@@ -11,6 +11,7 @@
 import contextlib
 import math
 from collections import deque
+from functools import partial
 from typing import TYPE_CHECKING
 
 from petrellane.gateway import replies
@@ -53,6 +54,7 @@
         # When set, the connection reads no more commands and closes after the last reply.
         self.is_closing = False
         self.half_closed_at = 0.0
+        self.is_breaking_off = False  # a long response broke off, and the connection will close
         # The Unix time by which a partly received command must be complete; None between commands.
         self.command_deadline: float | None = None
         self.handoff = ConnectionHandoff(self)
@@ -86,6 +88,7 @@
                 return
 
     def _wait_for_input(self) -> None:
+        """Wait for input; begin to close the connection once it has been idle for too long."""
         try:
             self.stream.fill(self._idle_timeout())
             self._wait_for_buffer_budget()
@@ -94,7 +97,8 @@
                 return
             if self.command_deadline:
                 raise resp.Malformed("command not whole in time") from None
-            if self.is_idle() and self._idle_timeout() <= self.listener.limits.client_poll_interval:
+            is_overdue = self._idle_timeout() <= self.listener.limits.client_poll_interval
+            if is_overdue and self.is_idle() and self.has_delivered_replies():
                 self.is_closing = True
 
     def _clean_up(self) -> None:
@@ -236,25 +240,25 @@
             request.finish(replies.error(str(error)))
 
     def _discard_input(self) -> None:
-        """Read and discard input for a limited time while the connection closes.
+        """Read and discard input until `linger_timeout` after the client received all replies.
 
         Closing a socket with unread input sends a reset, and the client may then lose replies that
-        it has not read yet.
+        it has not read yet. The listener closes clients that stop reading.
         """
         listener = self.listener
+        limits = listener.limits
         stream = self.stream
         deadline = math.inf
         with contextlib.suppress(Closed):
             listener.buffer_budget.reserve(self, 0)
             while (now := listener.scheduler.now()) < deadline:
-                if not self.pending_replies:
-                    # A slow client gets the stall timeout of a long value to read its last replies.
-                    limits = listener.limits
-                    time_left = limits.stall_timeout if stream.unsent else limits.linger_timeout
-                    deadline = min(deadline, now + time_left)
+                wait_time = limits.client_poll_interval
+                if self.has_delivered_replies():
+                    wait_time = limits.linger_timeout
+                    deadline = min(deadline, now + wait_time)
                 stream.buffer.clear()
                 with contextlib.suppress(TimeoutError):
-                    stream.fill(listener.limits.linger_timeout)
+                    stream.fill(wait_time)
 
     # Writing.
 
@@ -308,27 +312,29 @@
         self.close_if_done()
 
     def _close_after_broken_relay(self, relay: ResponseRelay) -> None:
-        """Close the connection within `stall_timeout` of the last progress of a broken response."""
-        deadline = relay.last_progress + self.listener.limits.stall_timeout
-        self._close_when_sent(deadline - self.listener.scheduler.now())
-
-    def _close_when_sent(self, timeout: float = 0.0) -> None:
         """Close the connection in the middle of a long response that cannot be completed.
 
-        The client detects the failure by the missing bytes. The gateway first sends the complete
-        replies that precede the response.
+        The client detects the failure by the missing bytes. The complete replies that precede the
+        response are delivered first, within `stall_timeout` of its last progress.
+        """
+        if not self.is_breaking_off:
+            self.is_breaking_off = True
+            self._close_when_delivered(relay.last_progress + self.listener.limits.stall_timeout)
+
+    def _close_when_delivered(self, deadline: float) -> None:
+        """Close the connection once the client's kernel has all that was written, or at a deadline.
 
         Args:
-            timeout: The maximum time for sending these replies, in seconds. If it is 0 or less, the
-                connection closes immediately, unless an earlier call is still waiting.
+            deadline: The Unix time at which the connection closes in any case.
         """
-        stream = self.stream
-        is_waiting = stream.on_flushed == self._close_when_sent
-        if not stream.unsent or (timeout <= 0 and not is_waiting):
-            stream.close()
-        elif not is_waiting:
-            stream.on_flushed = self._close_when_sent
-            self.listener.scheduler.call_later(timeout, stream.close)
+        scheduler = self.listener.scheduler
+        if self.stream.has_delivered_all() or scheduler.now() >= deadline:
+            self.stream.close()
+        else:
+            scheduler.call_later(
+                self.listener.limits.client_poll_interval,
+                partial(self._close_when_delivered, deadline),
+            )
 
     # Closing.
 
@@ -361,6 +367,14 @@
         """Return whether all replies are written and the kernel has accepted them."""
         return not self.pending_replies and not self.stream.unsent
 
+    def has_delivered_replies(self) -> bool:
+        """Return whether no reply is pending and the client's kernel has received all replies.
+
+        Until then the socket must stay open. If the client sends more to a closed socket, the
+        kernel resets the connection and drops the replies that it still holds for the client.
+        """
+        return not self.pending_replies and self.stream.has_delivered_all()
+
     def _belongs_to_successor(self) -> bool:
         """Return whether the connection is offered to the successor or will be offered."""
         has_successor = self.listener.successor is not None
@@ -372,8 +386,9 @@
         self._half_close(now)
 
     def _half_close(self, now: float) -> None:
-        """Shut down the sending side; close the socket after `linger_timeout`."""
-        self.half_closed_at = self.half_closed_at or now
+        """Shut down the sending side; close the socket `linger_timeout` after the last delivery."""
+        if not self.half_closed_at or not self.has_delivered_replies():
+            self.half_closed_at = now
         self.stream.write_eof()
         if now - self.half_closed_at > self.listener.limits.linger_timeout:
             self.stream.close()
--- a/petrellane/gateway/client_listener.py
+++ b/petrellane/gateway/client_listener.py
@@ -39,11 +39,11 @@
     """The progress of writing to a client.
 
     Attributes:
-        sent: The bytes that the kernel has accepted for the client so far.
+        delivered: The bytes that the client's kernel has received so far.
         since: The time since which that number has not changed, in Unix seconds.
     """
 
-    sent: int
+    delivered: int
     since: float
 
 
@@ -240,6 +240,8 @@
 
     def _evict_first(self, candidates: Iterable[ClientConnection]) -> bool:
         for client in candidates:
+            if not client.has_delivered_replies():
+                continue
             if client.is_idle() or self._is_stalled(client):
                 client.stream.close()
                 self.remove(client)
@@ -247,26 +249,33 @@
         return False
 
     def _is_stalled(self, client: ClientConnection) -> bool:
-        """Return whether a client's command is incomplete for too long and no reply is pending."""
+        """Return whether a client's command is incomplete for too long."""
         since = self.partial_commands.get(client, math.inf)
-        return self.scheduler.now() - since >= self.limits.command_timeout_on_shortage and not (
-            client.pending_replies or client.handoff.is_offered
-        )
+        is_overdue = self.scheduler.now() - since >= self.limits.command_timeout_on_shortage
+        return is_overdue and not client.handoff.is_offered
 
     def _close_stalled_clients(self) -> None:
-        """Close clients that have not read their last replies for `stall_timeout`."""
+        """Close clients that have not read their last replies for `stall_timeout`.
+
+        The idle time of the other slow readers begins when they have received all replies.
+        """
         self.scheduler.call_later(self.limits.check_interval, self._close_stalled_clients)
         now = self.scheduler.now()
         before = self.slow_readers
         self.slow_readers = {}
         clients = [
-            client for client in self.clients if client.stream.unsent and not client.pending_replies
+            client
+            for client in self.clients
+            if not client.pending_replies and not client.stream.has_delivered_all()
         ]
         for client in clients:
             progress = before.get(client)
-            if progress is None or progress.sent != client.stream.bytes_sent:
-                progress = SendProgress(client.stream.bytes_sent, now)
+            delivered = client.stream.bytes_sent - client.stream.unacknowledged_bytes()
+            if progress is None or progress.delivered != delivered:
+                progress = SendProgress(delivered, now)
             self.slow_readers[client] = progress
+            # The client may receive its last reply at any time before the next check.
+            client.idle_since = now + self.limits.check_interval
             if now - progress.since >= self.limits.stall_timeout:
                 client.stream.close()
 
--- a/petrellane/gateway/idle_eviction.py
+++ b/petrellane/gateway/idle_eviction.py
@@ -21,7 +21,8 @@
         connected_at: The time at which the gateway accepted the connection, in Unix seconds.
         has_sent_rpc: Whether the client has sent an RPC.
         idle_since: The time of the last reply, or `connected_at` before the first one, in Unix
-            seconds.
+            seconds. For a client that reads its last reply slowly, a time up to one check later
+            than its delivery.
     """
 
     connected_at: float
--- a/petrellane/net/stream.py
+++ b/petrellane/net/stream.py
@@ -151,6 +151,10 @@
         self.eof_requested = False
         self._always_watched = PEER_CLOSED if break_on_half_close else 0
         self._dialing = False
+        self._is_write_shut_down = False
+        # The value of `bytes_sent` at which all of them were known to be acknowledged. A socket
+        # from another process may hold unacknowledged bytes before this one has sent any.
+        self._delivered_bytes = -1
         self._reads_in_row = 0  # consecutive reads since the socket was last empty
         sock.setblocking(False)
         if sock.family != socket.AF_UNIX:
@@ -380,7 +384,16 @@
             queued = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(struct.calcsize("i")))
         except (OSError, ValueError):  # the socket is closed, or has no such queue
             return 0
-        return int.from_bytes(queued, sys.byteorder)
+        number = int.from_bytes(queued, sys.byteorder)
+        return max(0, number - 1) if self._is_write_shut_down else number  # the FIN counts as one
+
+    def has_delivered_all(self) -> bool:
+        """Return whether the peer has acknowledged everything that was queued for writing."""
+        if self.unsent:
+            return False
+        if self._delivered_bytes != self.bytes_sent and not self.unacknowledged_bytes():
+            self._delivered_bytes = self.bytes_sent
+        return self._delivered_bytes == self.bytes_sent
 
     def is_closed_by_peer(self) -> bool:
         """Return whether the peer has shut down its sending side, even if no poll reported it."""
@@ -406,6 +419,7 @@
 
     def shutdown_write(self) -> None:
         """Shut down the sending side immediately."""
+        self._is_write_shut_down = True
         with contextlib.suppress(OSError):  # the connection is over or was never established
             self.sock.shutdown(socket.SHUT_WR)
 
