Give each process of a control process epochs of its own, and compare digests

Participants take an equal epoch for the sender's own and found generations by ballot alone, so a Prepare of Y was answered with the prepared X, and the Commit put X in force. Stopped and replaced in this way, a process led on beside its replacement.

Change: the name in an epoch is followed by # and 64 random bits, drawn at each start (ballots.claimant). A participant rejects a prepare or commit of another digest under a ballot it knows (CONFLICTING_CONTENT) and logs it; one that learns of another digest in force at a peer takes that one.

tests/compatibility compares with the build before, whose epochs had no incarnation: its adapter takes them out of what is said and fails where one is missing. Random runs use other settings for each proposal now.

Not done, in docs/ROADMAP.md: a replacement within a partition on the fleet rig, the time of a change at 300 gateways, three control processes.

--- a/petrellane/config_consensus/ballots.py
+++ b/petrellane/config_consensus/ballots.py
@@ -13,6 +13,7 @@
 
 MAX_NUMBER = 2**53  # exclusive: JSON readers that use doubles keep smaller integers exact
 MAX_NAME_LENGTH = 64  # characters
+INCARNATION_SEPARATOR = "#"
 
 
 class Epoch(NamedTuple):
@@ -20,8 +21,8 @@
 
     Attributes:
         number: The number of the epoch. Epochs are ordered by it first.
-        control: The name of the control process that runs the coordinator. It orders epochs of the
-            same number, which two processes may claim.
+        control: The process that runs the coordinator, as `claimant` returns it. It orders epochs
+            of the same number, which two processes may claim.
     """
 
     number: int
@@ -31,6 +32,20 @@
 NO_EPOCH = Epoch(0, "")
 
 
+def claimant(name: str, incarnation: str) -> str:
+    """Return the identity under which a control process claims epochs.
+
+    Two processes may run under one name, for example if one replaces the other without its journal.
+    Their incarnations differ, so they never claim the same epoch.
+
+    Args:
+        name: The name of the control process, of which the identity contains as much as fits.
+        incarnation: The random identity of the process.
+    """
+    suffix = INCARNATION_SEPARATOR + incarnation
+    return name[: MAX_NAME_LENGTH - len(suffix)] + suffix
+
+
 class Ballot(NamedTuple):
     """The identity of one proposal; a higher ballot supersedes a lower one."""
 
--- a/petrellane/config_consensus/control_service.py
+++ b/petrellane/config_consensus/control_service.py
@@ -5,12 +5,14 @@
 before it notifies any gateway. The log has one JSON object per line.
 """
 
+import secrets
 import select
 import signal
 import socket
 from collections.abc import Callable, Iterable, Mapping
 
 from petrellane.config.consensus import ControlConfig
+from petrellane.config_consensus.ballots import claimant
 from petrellane.config_consensus.coordinator import Coordinator
 from petrellane.config_consensus.journal import Journal
 from petrellane.config_consensus.message_authentication import (
@@ -31,6 +33,7 @@
 TICK_INTERVAL_S = 0.05  # between two checks for decisions that depend on time, like timeouts
 JOURNAL_FAILED_INTERVAL_S = 1.0  # minimum time between two `journal_failed` events
 MAX_DESCRIPTORS = 4096
+INCARNATION_BYTES = 8
 
 
 class ControlService:
@@ -69,7 +72,7 @@
         self.scheduler.exception_handler = self.log.fault
         self.journal = Journal(config.journal)
         self.coordinator = Coordinator(
-            config.name,
+            claimant(config.name, secrets.token_hex(INCARNATION_BYTES)),
             tuple(config.members),
             self.journal,
             self.scheduler.now(),
--- a/petrellane/config_consensus/coordinator.py
+++ b/petrellane/config_consensus/coordinator.py
@@ -71,7 +71,7 @@
     """Brings all participants to agree on one generation; owned by its control process.
 
     Attributes:
-        name: The name of the control process.
+        name: The identity of the control process in its epochs.
         roster: The names of the configured participants.
         ledger: The changes and the generation in force.
         leadership: The epoch and the promises for it.
@@ -88,6 +88,13 @@
     ) -> None:
         """Replay the journal's records and claim the next epoch.
 
+        Args:
+            name: The identity of the process, which no other one has: see `ballots.claimant`.
+            roster: The names of the configured participants.
+            journal: The journal to write to.
+            now: The time, in seconds.
+            records: The records that the journal contains.
+
         Raises:
             ValueError, KeyError: A record is malformed.
             OSError: The journal could not be written.
--- a/petrellane/config_consensus/errors.py
+++ b/petrellane/config_consensus/errors.py
@@ -17,6 +17,7 @@
     UNKNOWN_GENERATION = "unknown"  # the participant does not have its content
     BASE_NOT_IN_FORCE = "behind"  # the base of a proposal is not in force at the participant yet
     CANNOT_COMMIT = "past"  # a later ballot is in force, or this ballot was aborted
+    CONFLICTING_CONTENT = "content"  # the participant knows other settings under this ballot
     TOO_MANY_PREPARED = "crowded"
     INVALID_SETTINGS = "settings"
     NOT_ACTIVE = "elsewhere"  # another process of the gateway, or no process yet, is active
--- a/petrellane/config_consensus/messages.py
+++ b/petrellane/config_consensus/messages.py
@@ -216,6 +216,10 @@
         """Return the ballot to which the request refers."""
         return parse_ballot(self._fields)
 
+    def digest(self) -> str:
+        """Return the digest of the settings to which the request refers; empty without one."""
+        return str(self._fields.get("digest", ""))
+
     def base(self) -> Ballot:
         """Return the ballot that the generation to prepare follows."""
         return parse_ballot(self._fields.get("base"))
--- a/petrellane/config_consensus/participant.py
+++ b/petrellane/config_consensus/participant.py
@@ -15,9 +15,11 @@
     promise E          E >= promised                        promised = E
     prepare E, G, base E >= promised, G after in_force,     G joins prepared
                        base not after in_force, G not
-                       aborted, settings valid here
+                       aborted, settings valid here,
+                       no other content under its ballot
     commit E, G        E >= promised, G prepared here       in_force = G, prepared keeps only
-                       or sent with its content             generations after G
+                       or sent with its content, no other   generations after G
+                       content under its ballot
     abort E, B         E >= promised, B after in_force      B leaves prepared, joins aborted
     peer's report      (from another participant)           in_force becomes the peer's if that is
                                                             later; ballots prepared here that the
@@ -47,7 +49,7 @@
     Generation,
     intersects_every_majority,
 )
-from petrellane.config_consensus.errors import MessageRejected, RejectionCause
+from petrellane.config_consensus.errors import MessageRejected, RejectionCause, shorten
 from petrellane.config_consensus.messages import MessageKind, PeerState, ReceivedRequest
 
 MAX_ABORTED = 16  # aborted ballots that are stored; no message refers to older changes
@@ -189,11 +191,14 @@
     A generation that is prepared or in force already does not change the state.
 
     Raises:
-        MessageRejected: The generation can no longer commit, `base` is later than the generation
-            in force here, the settings are not valid here, or too many generations are prepared.
+        MessageRejected: The generation can no longer commit, other settings are known here under
+            its ballot, `base` is later than the generation in force here, the settings are not
+            valid here, or too many generations are prepared.
     """
     ballot = generation.ballot
-    if state.find_generation(ballot):
+    known = state.find_generation(ballot)
+    if known:
+        _require_same_content(known, generation.digest)
         return state
     if ballot <= state.in_force.ballot:
         raise MessageRejected(
@@ -230,6 +235,17 @@
         )
 
 
+def _require_same_content(known: Generation, digest: str) -> None:
+    """Raise MessageRejected if a ballot known here is to stand for other settings."""
+    if known.digest != digest:
+        raise MessageRejected(
+            HTTPStatus.CONFLICT,
+            RejectionCause.CONFLICTING_CONTENT,
+            f"generation {known.number}: expected digest {known.digest}, which is known here under "
+            f"this ballot, found {shorten(digest)}",
+        )
+
+
 def _with_prepared(state: ParticipantState, generation: Generation) -> ParticipantState:
     """Return the state with one more prepared generation, sorted by ballot."""
     prepared = sorted((*state.prepared, generation), key=lambda candidate: candidate.ballot)
@@ -242,13 +258,16 @@
     """Put a committed generation in force, unless it or a later one is in force already.
 
     Raises:
-        MessageRejected: The settings are neither stored here nor part of the request, or they are
-            not valid here. The generation stays committed; this gateway cannot apply it.
+        MessageRejected: Other settings are known here under this ballot, or the settings are
+            neither stored here nor part of the request, or they are not valid here. The generation
+            stays committed; this gateway cannot apply it.
     """
     ballot = request.ballot()
+    generation = state.find_generation(ballot)
+    if generation is not None:
+        _require_same_content(generation, request.digest())
     if ballot <= state.in_force.ballot:
         return state
-    generation = state.find_generation(ballot)
     if generation is None:
         if not request.has_content:
             raise MessageRejected(
@@ -285,12 +304,22 @@
 
 def missing_ballots(state: ParticipantState, peer: PeerState) -> list[Ballot]:
     """Return the ballots whose settings must be fetched from a peer to merge its report."""
-    needed = [peer.in_force] if peer.in_force > state.in_force.ballot else []
+    needed = []
+    if peer.in_force > state.in_force.ballot and not _find_in_force(state, peer):
+        needed.append(peer.in_force)
     newest = max(peer.in_force, state.in_force.ballot)
     needed += [
-        ballot for ballot in peer.prepared if ballot > newest and ballot not in state.aborted
+        ballot
+        for ballot in peer.prepared
+        if ballot > newest and ballot not in state.aborted and not state.find_generation(ballot)
     ]
-    return [ballot for ballot in needed if not state.find_generation(ballot)]
+    return needed
+
+
+def _find_in_force(state: ParticipantState, peer: PeerState) -> Generation | None:
+    """Return the generation in force at a peer, if its settings are known here."""
+    known = state.find_generation(peer.in_force)
+    return known if known and known.digest == peer.digest else None
 
 
 def merge_peer_state(
@@ -315,7 +344,7 @@
         if state.find_generation(ballot):
             state = abort(state, ballot)
     if peer.in_force > state.in_force.ballot:
-        committed = state.find_generation(peer.in_force) or fetched_by_ballot.get(peer.in_force)
+        committed = _find_in_force(state, peer) or fetched_by_ballot.get(peer.in_force)
         if committed:
             _require_valid(committed, validate)
             state = put_in_force(state, committed)
--- a/petrellane/config_consensus/participant_service.py
+++ b/petrellane/config_consensus/participant_service.py
@@ -40,6 +40,7 @@
 from petrellane.operation.management_requests import HttpResponse
 
 UPDATE_RETRY_INTERVAL_S = 0.002  # between two checks whether another greenlet's update has ended
+LOGGED_REJECTIONS = (RejectionCause.INVALID_SETTINGS, RejectionCause.CONFLICTING_CONTENT)
 MAX_DRIFT_LINES = 20  # in a `drift` event
 
 
@@ -298,7 +299,7 @@
 
     def _log_rejection(self, message: JsonObject, rejection: MessageRejected) -> None:
         """Log a rejection of settings that this gateway cannot apply; senders handle others."""
-        if rejection.cause is RejectionCause.INVALID_SETTINGS:
+        if rejection.cause in LOGGED_REJECTIONS:
             self.log.event(
                 "agreement_refused",
                 do=message["do"],
--- a/petrellane/testbed/fleet_control.py
+++ b/petrellane/testbed/fleet_control.py
@@ -22,7 +22,8 @@
     """A control process, owned by its fleet.
 
     Attributes:
-        name: The name of the control process.
+        name: The name of the control process in the fleet.
+        configured_name: The name in its configuration file, which another one may have too.
         port: The port on which it serves calls.
         folder: The path of its directory.
         file: The path of its configuration file.
@@ -49,6 +50,7 @@
                 in the directory of this control process.
         """
         self.name = name
+        self.configured_name = name
         self.port = fleet.addresses.next_port()
         self.folder = str(Path(fleet.folder) / name)
         Path(self.folder).mkdir(exist_ok=True)
@@ -149,7 +151,7 @@
                 for gateway in self._fleet.gateways
             }
         lines = [
-            f'name = "{self.name}"',
+            f'name = "{self.configured_name}"',
             f'listen = "{self._fleet.addresses.ip}:{self.port}"',
             f'journal = "{self.journal}"',
             f'key_file = "{self._fleet.key_file}"',
--- a/tests/compatibility/build/__init__.py
+++ b/tests/compatibility/build/__init__.py
@@ -9,6 +9,7 @@
     ControlPlay,
     control_play,
     journal_records,
+    without_incarnations,
     write_journal,
 )
 from tests.compatibility.build.hot_restart import (
@@ -66,5 +67,6 @@
     "successor_dialogue",
     "verify_request",
     "verify_response",
+    "without_incarnations",
     "write_journal",
 ]
--- a/tests/compatibility/build/control_process.py
+++ b/tests/compatibility/build/control_process.py
@@ -1,6 +1,7 @@
 """A control process with its journal, led through a script."""
 
 import os
+import re
 from typing import Any
 
 import orjson
@@ -11,6 +12,16 @@
 
 Json = Any
 
+INCARNATION = re.compile(r"#[0-9a-f]{16}")
+"""What an epoch has behind the name of its control process; the build of the recording had none."""
+
+EPOCH = re.compile(r'\[(\d+),"(\w+)"\]')
+
+
+def without_incarnations(text: str) -> str:
+    """A text as the build of the recording would have said it."""
+    return INCARNATION.sub("", text)
+
 
 class ControlProcess:
     """A control process with its journal, without its calls; time is what the test says."""
@@ -37,15 +48,30 @@
         request, _ = self.control.coordinator.next_message(name, now)
         if request is None:
             return None
-        text = orjson.dumps(request.to_dict()).decode()
+        said = orjson.dumps(request.to_dict()).decode()
+        if not INCARNATION.search(said):
+            raise ValueError(f"expected an epoch with an incarnation, found {said}")
+        text = without_incarnations(said)
         self.sent[text] = request
         return text
 
+    def _with_incarnations(self, answer: str) -> str:
+        """An answer with the epochs of this journal's processes as they are claimed now."""
+        claimed = {
+            (record["number"], without_incarnations(record["control"])): record["control"]
+            for record in self.control.journal.records()
+            if record["kind"] == "epoch"
+        }
+        return EPOCH.sub(
+            lambda epoch: f'[{epoch[1]},"{claimed.get((int(epoch[1]), epoch[2]), epoch[2])}"]',
+            answer,
+        )
+
     def answered(self, name: str, message: str, answer: str, now: float) -> None:
         """A participant's answer to a message."""
         self.now = now
         request = self.sent[message]
-        found = messages.decode_answer(request, orjson.loads(answer))
+        found = messages.decode_answer(request, orjson.loads(self._with_incarnations(answer)))
         self.control.coordinator.handle_answer(name, request, found, now)
 
     def refused(self, name: str, message: str, now: float) -> None:
@@ -69,7 +95,7 @@
         self.calls += 1
         call = {**message, "nonce": str(self.calls), "at": now}
         status, body = self.control._staff_calls.handle(call)
-        return [status, orjson.dumps(body).decode()]
+        return [status, without_incarnations(orjson.dumps(body).decode())]
 
     def close(self) -> None:
         """Let go of the journal and the listener."""
--- a/tests/compatibility/test_config_consensus.py
+++ b/tests/compatibility/test_config_consensus.py
@@ -48,7 +48,9 @@
     journal = tmp_path / "journal"
     steps = build.control_play(str(journal), CONTROL["members"], case["script"])
     assert steps == case["found"]
-    assert files.journal_rows(journal) == case["rows"]
+    schema, version, rows = files.journal_rows(journal)
+    written = [[number, at, build.without_incarnations(record)] for number, at, record in rows]
+    assert [schema, version, written] == case["rows"]
 
 
 def test_journal_is_read_to_the_same_records(tmp_path: pathlib.Path) -> None:
--- a/tests/integration/testbed/test_fleet_control_kills.py
+++ b/tests/integration/testbed/test_fleet_control_kills.py
@@ -121,3 +121,41 @@
     assert change is not None
     assert change["outcome"] == "committed"
     check_run(fleet)
+
+
+def make_replacement(fleet: LoopbackFleet) -> FleetControl:
+    """Return a control process with the name of the fleet's one and an empty journal."""
+    replacement = make_control(fleet, "replacement")
+    replacement.configured_name = CONTROL
+    fleet.controls["replacement"] = replacement
+    return replacement
+
+
+def propose_at_both(fleet: LoopbackFleet, first: FleetControl, second: FleetControl) -> None:
+    """Propose different settings at two control processes; check that one of them accepts."""
+    answers = [
+        first.ask("propose", settings=first_settings(fleet)),
+        second.ask("propose", settings=second_settings(fleet)),
+    ]
+    accepted = [
+        control
+        for control, answer in zip((first, second), answers, strict=True)
+        if "number" in answer
+    ]
+    assert accepted == [second], answers
+
+
+def test_stopped_and_replaced_under_its_name(fleet: LoopbackFleet) -> None:
+    """Guards against a shared epoch: both control processes led, and neither was deposed."""
+    control = fleet.controls[CONTROL]
+    assert control.process is not None
+    control.process.pause()
+    replacement = make_replacement(fleet)
+    replacement.start()
+    wait_until_leading(fleet, replacement)
+    control.process.resume()
+    fleet.run_until(lambda: control.ask("status").get("state") == "deposed", "the first is deposed")
+    propose_at_both(fleet, control, replacement)
+    fleet.run_until(lambda: replacement.ask("status").get("settled"), "the end of the change")
+    wait_for_generation(fleet, replacement.ask("status")["in_force"]["number"])
+    check_run(fleet)
--- a/tests/unit/config_consensus/convergence.py
+++ b/tests/unit/config_consensus/convergence.py
@@ -47,13 +47,17 @@
 def _describe_divergence(fleet: SimulatedFleet, control: str) -> str | None:
     """Return how the gateways differ, or that one does not admit; None if they converged."""
     states = {
-        (participant.state.in_force.ballot, len(participant.state.prepared))
+        (
+            participant.state.in_force.ballot,
+            participant.state.in_force.digest,
+            len(participant.state.prepared),
+        )
         for participant in fleet.participants.values()
     }
-    if len(states) != 1 or next(iter(states))[1]:
+    if len(states) != 1 or next(iter(states))[-1]:
         coordinator = fleet.coordinator(control)
         return (
-            f"gateways differ after healing: (in force, prepared count) {sorted(states)}, "
+            f"gateways differ after healing: (in force, digest, prepared count) {sorted(states)}, "
             f"coordinator {coordinator.state} in {coordinator.epoch}: {coordinator.reason}"
         )
     if not all(participant.admits_under() for participant in fleet.participants.values()):
--- a/tests/unit/config_consensus/exploration.py
+++ b/tests/unit/config_consensus/exploration.py
@@ -9,6 +9,8 @@
 
 UNLIMITED_DEPTH = 999  # more steps than any order needs to reach its last new state
 HEAL_INTERVAL = 7  # one in this many new states is healed
+SHARED_NAME = "a"  # of control processes that replace each other
+SHARED_NAME_INTERVAL = 3  # in one of this many seeded runs the control processes share a name
 
 
 class Violation(NamedTuple):
@@ -102,9 +104,9 @@
         faults=rng.choice((0, 3, 12)),
         journal_losses=int(rng.random() < 0.3),
     )
-    return RandomRun(
-        SimulatedFleet(participant_count, controls, budget), rng, rng.choice((20, 60, 150))
-    )
+    shared_name = SHARED_NAME if seed % SHARED_NAME_INTERVAL == 0 else None
+    fleet = SimulatedFleet(participant_count, controls, budget, shared_name)
+    return RandomRun(fleet, rng, rng.choice((20, 60, 150)))
 
 
 def play(run: RandomRun) -> Violation | None:
--- a/tests/unit/config_consensus/simulated_fleet.py
+++ b/tests/unit/config_consensus/simulated_fleet.py
@@ -10,6 +10,7 @@
 from typing import Self
 
 from petrellane.config_consensus import changes, messages, notifications
+from petrellane.config_consensus.ballots import claimant
 from petrellane.config_consensus.coordinator import Coordinator, CoordinatorState
 from tests.unit.config_consensus.fleet_steps import (
     NETWORK_FAULTS,
@@ -29,6 +30,8 @@
 )
 
 STATE_DIGEST_BYTES = 16
+INCARNATIONS = ("m", "c", "t")  # so that a later process may come before or after an earlier one
+PROPOSED_SETTINGS = ALL_SETTINGS[1:]  # the first ones are in force at the start
 
 
 class SimulatedFleet:
@@ -43,10 +46,18 @@
         refusals: The refused connections of which the control process has not learned yet.
         now: The time, in seconds.
         budget: The events that may still happen.
+        shared_name: The name under which all control processes run, each with a journal of its own,
+            as where one replaces another that may still run; None if each has its own name.
+        proposal_count: The number of proposals so far.
+        start_count: The number of starts of control processes so far.
     """
 
     def __init__(
-        self, participant_count: int, controls: Sequence[str], budget: Budget | None = None
+        self,
+        participant_count: int,
+        controls: Sequence[str],
+        budget: Budget | None = None,
+        shared_name: str | None = None,
     ) -> None:
         roster = tuple(f"g{number}" for number in range(participant_count))
         self.participants = {name: SimulatedParticipant(name, roster) for name in roster}
@@ -56,6 +67,9 @@
         self.refusals: list[DelayedMessage] = []
         self.now = 0.0
         self.budget = budget or Budget()
+        self.shared_name = shared_name
+        self.proposal_count = 0
+        self.start_count = 0
 
     def coordinator(self, control: str) -> Coordinator:
         """Return the coordinator of a running control process."""
@@ -155,9 +169,15 @@
         if self.budget.journal_losses and len(journal.records) > 1:
             self.budget = self.budget._replace(journal_losses=0)
             journal.records = []
+        incarnation = INCARNATIONS[self.start_count % len(INCARNATIONS)] + str(self.start_count)
         self.coordinators[step.process] = Coordinator(
-            step.process, tuple(self.participants), journal, self.now, list(journal.records)
+            claimant(self.shared_name or step.process, incarnation),
+            tuple(self.participants),
+            journal,
+            self.now,
+            list(journal.records),
         )
+        self.start_count += 1
 
     def _crash_coordinator(self, step: Step) -> None:
         self._spend_crash()
@@ -173,7 +193,9 @@
 
     def _propose(self, step: Step) -> None:
         self.budget = self.budget._replace(proposals=self.budget.proposals - 1)
-        settings = ALL_SETTINGS[1 + list(self.coordinators).index(step.process)]
+        first = list(self.coordinators).index(step.process) + self.proposal_count
+        settings = PROPOSED_SETTINGS[first % len(PROPOSED_SETTINGS)]
+        self.proposal_count += 1
         self.coordinator(step.process).propose(settings, (), "staff", self.now)
 
     def _time_out_change(self, step: Step) -> None:
@@ -277,11 +299,23 @@
             if (ballots := participant.admits_under()) is not None
         }
         if not admitting or set.intersection(*admitting.values()):
-            return None
+            return self._conflicting_commit()
         return "no generation allows everything that is admitted: " + "; ".join(
             f"{name} {sorted(ballots)}" for name, ballots in admitting.items()
         )
 
+    def _conflicting_commit(self) -> str | None:
+        """Return which generation number two control processes committed with two contents."""
+        digests: dict[int, str] = {}
+        for coordinator in filter(None, self.coordinators.values()):
+            for ballot, change in coordinator.history.items():
+                if change.outcome != changes.ChangeOutcome.COMMITTED:
+                    continue
+                digest = digests.setdefault(ballot.number, change.generation.digest)
+                if digest != change.generation.digest:
+                    return f"generation {ballot.number} was committed with two contents"
+        return None
+
     def key(self) -> tuple[object, ...]:
         """Return a key that is equal for states with the same possible future."""
         return (
--- a/tests/unit/config_consensus/simulated_processes.py
+++ b/tests/unit/config_consensus/simulated_processes.py
@@ -5,7 +5,7 @@
 
 import copy
 from enum import StrEnum
-from typing import Any, Self
+from typing import Any, NamedTuple, Self
 
 from petrellane.config_consensus import (
     ballots,
@@ -30,6 +30,13 @@
     """A control process crashes in a write to its journal."""
 
 
+class GenerationKey(NamedTuple):
+    """The identity of a generation: its ballot, and the digest of its content."""
+
+    ballot: ballots.Ballot
+    digest: str
+
+
 class SimulatedJournal:
     """The durable records of a control process.
 
@@ -110,11 +117,18 @@
         assert generation is not None
         return generation
 
-    def admits_under(self) -> set[ballots.Ballot] | None:
-        """Return the ballots that all allow what this gateway admits; None if it admits nothing."""
+    def admits_under(self) -> set[GenerationKey] | None:
+        """Return the generations that all allow what this gateway admits.
+
+        A generation counts by ballot and content, because a ballot must not stand for two contents.
+
+        Returns:
+            The generations; None if the gateway admits nothing.
+        """
         if not self.is_running or not self.status.knows_in_force:
             return None
-        return {generation.ballot for generation in (self.state.in_force, *self.state.prepared)}
+        generations = (self.state.in_force, *self.state.prepared)
+        return {GenerationKey(generation.ballot, generation.digest) for generation in generations}
 
     def key(self) -> tuple[object, ...]:
         """Return a key of the state, with responders only if what is in force is unknown."""
--- a/tests/unit/config_consensus/test_coordinator.py
+++ b/tests/unit/config_consensus/test_coordinator.py
@@ -108,3 +108,13 @@
     fleet.journals["a"].crash_point = CrashPoint.NONE
     coordinator.try_to_decide(fleet.now)
     assert coordinator.history[change.ballot].outcome == ChangeOutcome.COMMITTED
+
+
+def test_control_processes_of_one_name_claim_different_epochs() -> None:
+    """Guards against a shared epoch: a process that replaces another one has an empty journal."""
+    fleet = SimulatedFleet(3, ("a", "b"), shared_name="a")
+    for control in ("a", "b"):
+        fleet.take(Step(StepKind.START_COORDINATOR, control))
+    first, second = fleet.coordinator("a").epoch, fleet.coordinator("b").epoch
+    assert first.number == second.number == 1
+    assert first != second
--- a/tests/unit/config_consensus/test_event_orders.py
+++ b/tests/unit/config_consensus/test_event_orders.py
@@ -15,7 +15,7 @@
 )
 
 from tests.unit.config_consensus.convergence import heal
-from tests.unit.config_consensus.exploration import explore, play_seed
+from tests.unit.config_consensus.exploration import SHARED_NAME, explore, play_seed
 from tests.unit.config_consensus.fleet_steps import Budget
 from tests.unit.config_consensus.simulated_fleet import SimulatedFleet
 
@@ -48,6 +48,19 @@
     assert explore(fleet, MAX_DEPTH, max_states=12_000).violation is None
 
 
+@pytest.mark.parametrize("crashes", [0, 1])
+def test_a_control_process_that_is_replaced_under_its_name(crashes: int) -> None:
+    """Guards against two contents under one ballot.
+
+    A control process is replaced by one with an empty journal and the same name, and goes on.
+    """
+    budget = Budget(proposals=2, crashes=crashes, faults=0)
+    fleet = SimulatedFleet(2, ("a", "b"), budget, SHARED_NAME)
+    state_count, violation = explore(fleet, MAX_DEPTH, MAX_STATES)
+    assert violation is None
+    assert state_count > 2_000
+
+
 def test_seeded_runs_of_up_to_five_gateways() -> None:
     """No run of random steps violates a guarantee."""
     for seed in range(SEED_COUNT):
@@ -78,9 +91,19 @@
         assert heal(self.fleet) is None
 
 
-def test_larger_fleets() -> None:
+class ReplacedControlProcess(LargerFleet):
+    """Three gateways, and two control processes that share a name and have a journal each."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        budget = Budget(proposals=3, crashes=2, faults=4)
+        self.fleet = SimulatedFleet(3, ("a", "b"), budget, SHARED_NAME)
+
+
+@pytest.mark.parametrize("machine", [LargerFleet, ReplacedControlProcess])
+def test_larger_fleets(machine: type[LargerFleet]) -> None:
     """No run of a larger fleet violates a guarantee."""
     run_state_machine_as_test(
-        LargerFleet,
+        machine,
         settings=settings(max_examples=60, stateful_step_count=60, derandomize=True, deadline=None),
     )
--- a/tests/unit/config_consensus/test_participant.py
+++ b/tests/unit/config_consensus/test_participant.py
@@ -7,8 +7,14 @@
 from hypothesis import strategies as st
 
 from petrellane.config_consensus import canonical_settings, errors, participant, safe_settings
-from petrellane.config_consensus.ballots import Ballot, Generation
-from petrellane.config_consensus.messages import JsonObject
+from petrellane.config_consensus.ballots import (
+    MAX_NAME_LENGTH,
+    Ballot,
+    Epoch,
+    Generation,
+    claimant,
+)
+from petrellane.config_consensus.messages import JsonObject, PeerState
 from petrellane.config_consensus.participant import ParticipantState
 from tests.unit.config_consensus.participant_states import (
     EPOCH,
@@ -133,3 +139,48 @@
     status.set_roster(("g1", "g2"))
     status.on_peer_answered("g2", status.stall_count)
     assert not status.knows_in_force  # coordinators do not notify gateways outside the roster
+
+
+CONFLICTING = Generation(PROPOSED.ballot, canonical_settings.digest(OTHER_SETTINGS), OTHER_SETTINGS)
+
+
+@pytest.mark.parametrize("kind", ["prepare", "commit"])
+@pytest.mark.parametrize("is_in_force", [False, True])
+def test_another_content_under_a_known_ballot_is_rejected(kind: str, is_in_force: bool) -> None:
+    """Guards against two contents under one ballot: one was put in force that nobody decided."""
+    known = state_with_prepared(1)
+    if is_in_force:
+        known = participant.put_in_force(known, known.prepared[0])
+    with pytest.raises(errors.MessageRejected) as rejected:
+        handle(known, request(kind, CONFLICTING))
+    assert rejected.value.cause is errors.RejectionCause.CONFLICTING_CONTENT
+    assert CONFLICTING.digest in rejected.value.text
+
+
+def test_the_content_in_force_at_a_peer_replaces_another_one_of_its_ballot() -> None:
+    """A gateway that prepared other settings under a ballot takes those that are in force."""
+    report = PeerState(CONFLICTING.ballot, CONFLICTING.digest, (), (), ROSTER)
+    known = state_with_prepared(1)
+    assert participant.missing_ballots(known, report) == [CONFLICTING.ballot]
+    after = participant.merge_peer_state(known, report, [CONFLICTING], accept)
+    assert after.in_force == CONFLICTING
+    assert not after.prepared
+
+
+def test_epochs_of_the_build_before_are_ordered_among_those_of_this_one() -> None:
+    """In a mixed fleet, two processes of one name and number have different epochs too."""
+    before = Epoch(1, "control-a")
+    after = Epoch(1, claimant("control-a", "0123456789abcdef"))
+    assert before < after < Epoch(2, "control-a")
+    promised = handle(state_with_prepared(), request("promise", PROPOSED, epoch_of=list(after)))
+    assert promised.promised == after
+    with pytest.raises(errors.MessageRejected) as rejected:
+        handle(promised, request("promise", PROPOSED, epoch_of=list(before)))
+    assert rejected.value.cause is errors.RejectionCause.STALE_EPOCH
+
+
+def test_the_identity_of_a_control_process_fits_into_an_epoch() -> None:
+    """The longest name is cut, the incarnation stays complete."""
+    identity = claimant("n" * MAX_NAME_LENGTH, "0123456789abcdef")
+    assert len(identity) == MAX_NAME_LENGTH
+    assert identity.endswith("#0123456789abcdef")
