Keep the answers behind an action that fails, and await no reply to unwritten additions

Cause: ActionExecutor.execute ended with the first exception, while the controller had already marked those RPCs as finished, so that their deadline timers did nothing. An exception in the controller itself had the same effect for every event but an RPC's own. CounterConnection.send queued an addition before it was encoded; one that could not be encoded went on waiting and took the reply of the next addition. EndpointConnection.write had the same order.

Change: each action is executed whatever happened to the one before it. FaultRecovery reports attempts, additions and timers that failed, and checks at the end of the turn for RPCs that count as finished without an answer or whose attempt was never started. Commands are encoded first; an addition that cannot be written ends never-sent, and a connection on which it may be partly written ends.

--- a/petrellane/gateway/action_executor.py
+++ b/petrellane/gateway/action_executor.py
@@ -4,10 +4,9 @@
 the known endpoints and the counts that the log reports. It decides nothing: each event becomes one
 call of `AdmissionController`, and each returned action goes to the service that executes it.
 
-No request gets a second reply. If the controller raises an exception while it admits an RPC,
-handles the end of an attempt or expires an RPC, the executor logs the exception and replies to the
-RPC with an error. Other events (timers, counter replies, endpoint lists, client disconnects) have
-no such guard: the scheduler logs the exception, and the RPC concerned may stay open.
+Each request gets one reply, and no second one. An exception in the controller or in one action is
+logged; the other actions are executed all the same, and `FaultRecovery` settles the requests
+concerned. Endpoint lists alone have no such guard: the scheduler logs the exception.
 """
 
 from __future__ import annotations
@@ -15,6 +14,7 @@
 import math
 from collections import Counter
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 from petrellane.decisions.action_dispatcher import ActionDispatcher
@@ -23,6 +23,7 @@
     DEDUPLICATED,
     GONE,
     IDEMPOTENT,
+    NEVER_SENT,
     OK,
     READY,
     Rpc,
@@ -38,6 +39,7 @@
 )
 from petrellane.gateway.customers import Customers
 from petrellane.gateway.endpoint_updates import KnownEndpoints, endpoint_updates
+from petrellane.gateway.fault_recovery import FaultRecovery
 from petrellane.gateway.load_report import COST_METRIC, parse_load_report, pop_reported_usage
 
 if TYPE_CHECKING:
@@ -52,6 +54,7 @@
         Reject,
         SendAttempt,
         SetTimer,
+        TimerSubject,
         WatchEndpoints,
         WriteLog,
     )
@@ -89,6 +92,7 @@
 
     def __init__(self, config: Config, runtime: Runtime, memory: MemoryAccount) -> None:
         super().__init__()
+        self.fault_recovery = FaultRecovery(self)
         self.memory = memory
         self.settings: Settings = config.settings
         self.scheduler = runtime.scheduler
@@ -120,6 +124,14 @@
         self.hot_restart_transport: HotRestartTransport | None = None
         self.admission_gate: AdmissionGate | None = None
 
+    def execute(self, actions: Iterable[Action]) -> None:
+        """Execute actions in the given order; one that fails does not stop those behind it."""
+        for action in actions:
+            try:
+                self._handlers[type(action)](action)
+            except Exception as error:  # the answers behind it must be given
+                self.fault_recovery.on_action_failed(action, error)
+
     def start(self, known: EndpointListUpdate) -> None:
         """Start the controller with the endpoints in the configuration."""
         self.execute(self.controller.start(self.now()))
@@ -264,13 +276,27 @@
     ) -> None:
         """Call the controller about an RPC and execute the actions that it returns.
 
-        If the controller raises an exception, log it and reply to the RPC with an error.
+        If the controller raises an exception, reply to the RPC with an error.
         """
+        if not self._decide(call, *args, **kwargs):
+            self.answer_with_fault(rpc)
+
+    def _decide(
+        self, call: Callable[..., Iterable[Action]], *args: object, **kwargs: object
+    ) -> bool:
+        """Call the controller and execute the actions; return False if it raised an exception."""
         try:
-            self.execute(call(*args, **kwargs))
-        except Exception as error:  # the client must get a reply after any failure
-            self.log.fault(error)
-            self._finish(rpc, replies.FAULT)
+            actions = call(*args, **kwargs)
+        except Exception as error:  # the open requests must get their replies
+            self.fault_recovery.on_decision_failed(error)
+            return False
+        self.execute(actions)
+        return True
+
+    def answer_with_fault(self, rpc: Rpc) -> None:
+        """Reply to an RPC that an internal error prevents from being handled."""
+        self.controller.finish(rpc)
+        self._finish(rpc, replies.FAULT)
 
     def on_client_disconnected(self, request: ClientRequest) -> None:
         """Cancel a request whose client disconnected before the reply."""
@@ -279,7 +305,7 @@
             return
         del self.requests[rpc]
         del self.requests_by_id[request.id]
-        self.execute(self.controller.on_client_disconnected(self.now(), rpc))
+        self._decide(self.controller.on_client_disconnected, self.now(), rpc)
         self.endpoint_pools.on_client_disconnected(rpc.attempts, self.controller.may_cancel)
 
     def expire_open_requests(self) -> None:
@@ -311,7 +337,7 @@
         relay.on_data = request.owner.on_reply_ready
         self.counts["long"] += 1
         self.controller.finish(attempt.rpc)
-        self.execute(self.controller.on_response_started(self.now(), attempt, is_relayed=True))
+        self._decide(self.controller.on_response_started, self.now(), attempt, is_relayed=True)
         self._finish(attempt.rpc, replies.value_head(length))
         return True
 
@@ -322,8 +348,8 @@
             pending: The attempt that the endpoint answers.
         """
         self.counts["held"] += 1
-        self.execute(
-            self.controller.on_response_started(self.now(), pending.attempt, is_relayed=True)
+        self._decide(
+            self.controller.on_response_started, self.now(), pending.attempt, is_relayed=True
         )
 
     def on_attempt_ended(
@@ -361,7 +387,22 @@
     def on_counter_reply(self, add: CounterAdd, outcome: Outcome, total: float) -> None:
         """Report the outcome of an addition to the shared counter."""
         self.counts["add " + outcome] += 1
-        self.execute(self.controller.on_counter_reply(self.now(), add, outcome, total))
+        self._decide(self.controller.on_counter_reply, self.now(), add, outcome, total)
+
+    def on_timer(self, subject: TimerSubject) -> None:
+        """Report an expired timer of the controller."""
+        self._decide(self.controller.on_timer, self.now(), subject)
+
+    def on_attempt_not_started(self, attempt: SendAttempt) -> None:
+        """Report an attempt that the controller requested and no endpoint will receive."""
+        self._notify_controller(
+            attempt.rpc,
+            self.controller.on_attempt_ended,
+            self.now(),
+            attempt,
+            NEVER_SENT,
+            is_final=False,
+        )
 
     def _finish(self, rpc: Rpc, *answer: HeldBytes) -> None:
         """Reply to an RPC, unless it already has a reply or its client has disconnected."""
@@ -407,10 +448,7 @@
         self.counter_client.send(action)
 
     def _set_timer(self, action: SetTimer) -> None:
-        def on_timer() -> None:
-            self.execute(self.controller.on_timer(self.now(), action.subject))
-
-        self.scheduler.call_later(action.delay, on_timer)
+        self.scheduler.call_later(action.delay, partial(self.on_timer, action.subject))
 
     def _write_log(self, action: WriteLog) -> None:
         self.log.event(action.event, text=action.text)
--- a/petrellane/gateway/counter_client.py
+++ b/petrellane/gateway/counter_client.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from petrellane.decisions.actions import CounterAdd
-from petrellane.decisions.types import ERROR, FULL, LATE, OK, RESET, UNREACHABLE
+from petrellane.decisions.types import ERROR, FULL, LATE, NEVER_SENT, OK, RESET, UNREACHABLE
 from petrellane.net import resp
 from petrellane.net.stream import Closed, Stream
 
@@ -30,18 +30,21 @@
 BULK_STRING = ord("$")
 ERROR_LINE = ord("-")
 
+MILLISECONDS = 1e3
+
 
 class PendingAdd:
     """One addition, from `CounterClient.send` until its outcome is reported.
 
-    `end_offset` is the value of the stream's `bytes_sent` at which the whole addition has been
-    sent. It is None until the addition is written.
+    `command` is what is written. `end_offset` is the value of the stream's `bytes_sent` at which
+    the whole addition has been sent. It is None until the addition is written.
     """
 
-    __slots__ = ("add", "end_offset", "is_reported", "sent_at", "timer")
+    __slots__ = ("add", "command", "end_offset", "is_reported", "sent_at", "timer")
 
     def __init__(self, add: CounterAdd, sent_at: float) -> None:
         self.add = add
+        self.command: bytes  # set by `CounterClient.send`
         self.sent_at = sent_at
         self.timer: Timer  # set by `CounterClient.send`
         self.end_offset: int | None = None
@@ -69,8 +72,9 @@
         except resp.Malformed:
             if self.pending:  # the counter executed the addition; the total is unknown
                 self.client.report(self.pending.popleft(), ERROR, 0.0)
-            self.end()
         except (OSError, Closed):
+            pass
+        finally:
             self.end()
 
     def _serve(self) -> None:
@@ -88,7 +92,6 @@
             if not self.pending and self.address != client.address:
                 break
             stream.fill()
-        self.end()
 
     def send(self, pending: PendingAdd) -> None:
         """Write an addition, or queue it until the connection is established."""
@@ -97,13 +100,8 @@
             self._write(self.stream, pending)
 
     def _write(self, stream: Stream, pending: PendingAdd) -> None:
-        add = pending.add
-        amount = f"{add.amount:.7f}".rstrip("0").rstrip(".")
-        ttl_ms = max(1, int(add.ttl * 1e3))
-        stream.write(
-            resp.encode_command(b"CNT.ADD", b"%d" % add.name, amount.encode(), b"%d" % ttl_ms)
-        )
-        pending.end_offset = stream.bytes_queued
+        pending.end_offset = stream.bytes_queued + len(pending.command)
+        stream.write(pending.command)
         self.last_used_at = self.client.scheduler.now()
 
     def _read_replies(self, stream: Stream) -> None:
@@ -193,17 +191,35 @@
         """
         self.scheduler = runtime.scheduler
         self.limits = runtime.limits
+        self.log = runtime.log
         self.address = address
         self.on_reply = on_reply
         self.connections: list[CounterConnection] = []
         self.scheduler.call_later(self.limits.check_interval, self._close_idle)
 
     def send(self, add: CounterAdd) -> None:
-        """Send an addition and report its outcome exactly once."""
+        """Send an addition and report its outcome exactly once.
+
+        An addition that cannot be written ends `NEVER_SENT`, and no reply is awaited for it.
+        """
         pending = PendingAdd(add, self.scheduler.now())
         on_timeout = partial(self._on_timeout, pending)
         pending.timer = self.scheduler.call_later(self.limits.counter_timeout, on_timeout)
-        self._connection_for(pending.sent_at).send(pending)
+        try:
+            pending.command = encode_add(add)
+            self._connection_for(pending.sent_at).send(pending)
+        except Exception as error:  # the decisions wait for the outcome of each addition
+            self.log.fault(error)
+            self._withdraw(pending)
+
+    def _withdraw(self, pending: PendingAdd) -> None:
+        """Report an addition that could not be sent.
+
+        A connection on which it is pending ends, because its replies could be taken for others.
+        """
+        for connection in [each for each in self.connections if pending in each.pending]:
+            connection.end()
+        self.report(pending, NEVER_SENT, 0.0)
 
     def change_address(self, address: Address) -> None:
         """Use another address from now on.
@@ -264,6 +280,19 @@
                 connection.end()
 
 
+def encode_add(add: CounterAdd) -> bytes:
+    """Return the command of an addition.
+
+    Raises:
+        ValueError: The amount or the time to live is not a finite number.
+    """
+    if not (math.isfinite(add.amount) and math.isfinite(add.ttl)):
+        raise ValueError(f"addition of {add.amount} for {add.ttl} s: expected finite numbers")
+    amount = f"{add.amount:.7f}".rstrip("0").rstrip(".")
+    ttl_ms = max(1, int(add.ttl * MILLISECONDS))
+    return resp.encode_command(b"CNT.ADD", b"%d" % add.name, amount.encode(), b"%d" % ttl_ms)
+
+
 def _last_used_at(connection: CounterConnection) -> float:
     return connection.last_used_at
 
--- a/petrellane/gateway/endpoint_connection.py
+++ b/petrellane/gateway/endpoint_connection.py
@@ -199,9 +199,10 @@
             )
         pending.connection = self
         pending.end_offset = None
+        command = pending.request.encode(time_left)  # before anything waits for its reply
         self.in_flight.append(pending)
         self.stream.write_deadline = pending.attempt.send_by
-        self.stream.write(*pending.request.encode(time_left))
+        self.stream.write(*command)
         pending.end_offset = self.stream.bytes_queued
 
     def can_pipeline(self) -> bool:
--- a/petrellane/gateway/endpoint_pools.py
+++ b/petrellane/gateway/endpoint_pools.py
@@ -119,9 +119,9 @@
 
     def send(self, request: ClientRequest, attempt: SendAttempt) -> None:
         """Start an attempt."""
-        pool = self._pool_for(attempt.endpoint)
-        pending = PendingAttempt(request, attempt, pool, attempt.sent_at + attempt.timeout)
+        pending = PendingAttempt(request, attempt, None, attempt.sent_at + attempt.timeout)
         self.pending_attempts[attempt] = pending
+        pool = pending.pool = self._pool_for(attempt.endpoint)
         if pool is None or self.is_stale(pending):
             self.scheduler.call_soon(self.report, pending, NEVER_SENT)
             return
@@ -129,6 +129,18 @@
         pending.timer = self.scheduler.call_later(timeout, partial(self._on_timer, pending))
         pool.assign(pending)
 
+    def withdraw(self, attempt: SendAttempt) -> None:
+        """Stop an attempt whose start raised an exception; its outcome is still reported."""
+        pending = self.pending_attempts.get(attempt)
+        if pending is None:
+            return
+        connection = pending.connection
+        # A connection with other attempts stays open, unless this one is among those in flight.
+        if connection and (pending in connection.in_flight or not connection.in_flight):
+            connection.end()
+        self._remove_from_queue(pending)
+        self.scheduler.call_soon(self.report, pending, NEVER_SENT)
+
     def _on_timer(self, pending: PendingAttempt) -> None:
         """Handle the expiry of an attempt's deadline or of its `send_by` time.
 
--- a/tests/integration/gateway/race_steps.py
+++ b/tests/integration/gateway/race_steps.py
@@ -1,5 +1,8 @@
 """Steps that force races to happen, and steps that move the clock."""
 
+import math
+
+from petrellane.decisions import actions
 from petrellane.gateway.client_request import ClientRequest
 from petrellane.net import resp
 from tests.integration.gateway.configuration import unescape
@@ -80,3 +83,19 @@
             raise ZeroDivisionError(f"injected by the scenario into the controller's {name}")
 
         setattr(controller, name, fail)
+
+    def do_fault_action(self, name: str) -> None:
+        """Let the next action of this type raise an error when it is executed."""
+        handlers = self.gateway.executor._handlers
+        kind = getattr(actions, name)
+        handler = handlers[kind]
+
+        def fail(_action: object) -> None:
+            handlers[kind] = handler
+            raise ZeroDivisionError(f"injected by the scenario into the execution of {name}")
+
+        handlers[kind] = fail
+
+    def do_adds_unwritable(self) -> None:
+        """Let the decisions ask for an addition that no command can express."""
+        self.gateway.executor.execute([actions.CounterAdd(7, 1.0, math.inf)])
