Bound additions to the counter for every plan, also while plans change

Cause: the addition that gives back what was not in escrow took the window's length as its time to live, which is infinite without a quota; the counter client raised OverflowError. The same stood in the return of excess and in the restoring of a lost count, where a plan loses its quota while a top-up is under way. Beyond that: amounts over 1e9, which the counter rejects; a division by zero for a quota without a store, and where the customer's plan had changed and the lease had not yet applied it.

Change: Lease.count_ttl and MAX_COUNTER_AMOUNT bound what is asked for, a lease goes by the plan that was applied to it, a quota without a store covers no RPC, and without a quota a fair share grants nothing.

--- a/petrellane/decisions/actions.py
+++ b/petrellane/decisions/actions.py
@@ -103,14 +103,21 @@
     is_follow_up: bool
 
 
+MAX_COUNTER_AMOUNT = 1e9  # units that the counter accepts in one addition, in either direction
+MIN_COUNTER_TTL = 0.001  # seconds; the counter takes whole milliseconds, from 1
+MAX_COUNTER_TTL = 60.0  # seconds; the counter keeps no count for longer
+
+
 @dataclass(eq=False, repr=False, slots=True)
 class CounterAdd:
     """Add an amount to a named count of the shared counter and report the new total.
 
     Attributes:
         name: The name of the count.
-        amount: The units to add; negative to return units, 0 to read the total.
-        ttl: The seconds after which the counter may delete the count.
+        amount: The units to add; negative to return units, 0 to read the total. At most
+            `MAX_COUNTER_AMOUNT` in either direction.
+        ttl: The seconds after which the counter may delete the count, from `MIN_COUNTER_TTL` to
+            `MAX_COUNTER_TTL`.
         purpose: The operation that the reply completes; None if nothing waits for the reply, for
             example when units are returned.
     """
--- a/petrellane/decisions/hard_limits.py
+++ b/petrellane/decisions/hard_limits.py
@@ -9,7 +9,12 @@
 
 from typing import NamedTuple
 
-from petrellane.decisions.actions import Action, CounterAdd, PendingEscrowMove
+from petrellane.decisions.actions import (
+    MAX_COUNTER_AMOUNT,
+    Action,
+    CounterAdd,
+    PendingEscrowMove,
+)
 from petrellane.decisions.counter_health import CounterHealth
 from petrellane.decisions.leases import MIN_TOP_UP_SHARE, Lease
 from petrellane.decisions.numeric import stable_hash
@@ -17,7 +22,6 @@
 from petrellane.decisions.types import OK, Outcome
 
 ESCROW_TTL_WINDOWS = 2  # windows for which the counter keeps an escrow's count
-ESCROW_TTL_MAXIMUM = 60.0  # maximum seconds for which the counter keeps an escrow's count
 # In seconds. If the escrow granted nothing, the gateway asks it again after MIN_TOP_UP_SHARE of
 # this time, or of the window if the window is shorter.
 ESCROW_RETRY_BASE = 1.0
@@ -79,7 +83,7 @@
             taken = min(borrowed, max(0.0, total - add.amount))
             if taken < borrowed:
                 # Return the units that were not in escrow, so that the count is not below zero.
-                actions.append(CounterAdd(add.name, borrowed - taken, lease.window_length))
+                actions.append(CounterAdd(add.name, borrowed - taken, lease.count_ttl(1)))
         elif outcome in PROVEN_NOT_RUN and not is_borrowing:
             taken = add.amount  # the units never reached the escrow
         lease.hard_limit += taken
@@ -102,8 +106,9 @@
     It lends at most half of the escrow's free space, and keeps the units that waiting RPCs need.
     Less than a portion is not worth a request.
     """
-    units = min(level - lease.waiting_units(), (lease.hard_limit_escrow - total) / 2)
-    if units < lease.hard_limit_escrow * lease.fair_share or not units:
+    spare = level - lease.waiting_units()
+    units = min(spare, (lease.hard_limit_escrow - total) / 2, MAX_COUNTER_AMOUNT)
+    if units < lease.hard_limit_escrow * lease.fair_share or not lease.hard_limit_escrow:
         return []
     lease.hard_limit -= units
     return [_lend(lease, EscrowCount(add.name, add.ttl), units, is_follow_up=True)]
@@ -121,7 +126,7 @@
     """Return the count of the escrow in the lease's window."""
     # The word `ceiling` is part of the count's name, which all versions of the gateway share.
     name = stable_hash(f"{lease.customer.name} {lease.window} ceiling")
-    return EscrowCount(name, min(ESCROW_TTL_MAXIMUM, ESCROW_TTL_WINDOWS * lease.window_length))
+    return EscrowCount(name, lease.count_ttl(ESCROW_TTL_WINDOWS))
 
 
 def _lend(
--- a/petrellane/decisions/lease_manager.py
+++ b/petrellane/decisions/lease_manager.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from petrellane.decisions.actions import (
+    MAX_COUNTER_AMOUNT,
     Action,
     CounterAdd,
     PendingEscrowMove,
@@ -30,7 +31,6 @@
 
 RESERVE_SHARE = 0.3  # last share of a window's limit, which only waiting RPCs get
 COUNT_TTL_WINDOWS = 4  # windows for which the counter keeps a window's count
-COUNT_TTL_MAXIMUM = 60.0  # maximum seconds for which the counter keeps a window's count
 LOST_COUNT_TOLERANCE = 0.5  # units by which rounding may lower a total below the lease's additions
 INITIAL_CLEAN_UP_SIZE = 100  # number of leases at which idle leases are first dropped
 EVICTION_DIVISOR = 8  # at the maximum, 1/8 of the leases is looked at for eviction at once
@@ -140,6 +140,8 @@
         actions = self.escrow.lend_or_borrow(now, lease, rpc.units)
         if not lease.is_within_limits(now, rpc.units):
             return self._wait_for_escrow(now, lease, rpc, actions)
+        if lease.plan.has_empty_quota:
+            return CreditDecision(Credit.REFUSED, actions)
         counter = self.counter
         if lease.available < rpc.units and (counter.is_unreachable or counter.is_degraded(now)):
             needed = rpc.units if counter.is_unreachable else 0.0
@@ -190,9 +192,10 @@
 
     def _top_up(self, lease: Lease, now: float, *, is_reread: bool = False) -> list[Action]:
         """Request more credit; at most one top-up is pending for each customer and window."""
-        unreported = lease.unreported
-        lease.unreported = 0.0
-        amount = max(0.0, lease.target_units(now) - lease.available) + unreported
+        unreported = min(lease.unreported, MAX_COUNTER_AMOUNT)
+        lease.unreported -= unreported
+        missing = max(0.0, lease.target_units(now) - lease.available)
+        amount = min(missing + unreported, MAX_COUNTER_AMOUNT)
         lease.reported += amount
         if not (amount or unreported or is_reread):
             return []
@@ -210,7 +213,7 @@
         """Add to the count of a window, with a timeout; an amount of 0 only reads the total."""
         # The name is the same at every gateway and after every restart.
         name = stable_hash(f"{lease.customer.name} {counted_window}")
-        ttl = min(COUNT_TTL_MAXIMUM, COUNT_TTL_WINDOWS * lease.window_length)
+        ttl = lease.count_ttl(COUNT_TTL_WINDOWS)
         top_up = PendingTopUp(lease, lease.window, unreported, is_reread=is_reread)
         add = CounterAdd(name, amount, ttl, top_up)
         lease.pending_add = add
@@ -336,10 +339,11 @@
         self, now: float, lease: Lease, add: CounterAdd, excess: float
     ) -> list[Action]:
         """Give back units added beyond the limit; send no request to a degraded counter."""
-        lease.reported -= excess
+        returned = min(excess, MAX_COUNTER_AMOUNT)
+        lease.reported -= returned
         is_degraded = self.counter.is_degraded(now)
         lease.mark_exhausted(now)
-        return [] if is_degraded else [CounterAdd(add.name, -excess, lease.window_length)]
+        return [] if is_degraded else [CounterAdd(add.name, -returned, lease.count_ttl(1))]
 
     def _on_escrow_reply(
         self,
@@ -389,10 +393,11 @@
     """Return the request that adds lost units to the counter again, or an empty list.
 
     The counter has lost units if its total is below the units that this gateway has added, by
-    more than the rounding tolerance.
+    more than the rounding tolerance. Units beyond `MAX_COUNTER_AMOUNT` follow with later replies.
     """
     if total < lease.reported - LOST_COUNT_TOLERANCE:
-        return [CounterAdd(add.name, lease.reported - total, lease.window_length)]
+        lost = min(lease.reported - total, MAX_COUNTER_AMOUNT)
+        return [CounterAdd(add.name, lost, lease.count_ttl(1))]
     return []
 
 
--- a/petrellane/decisions/leases.py
+++ b/petrellane/decisions/leases.py
@@ -7,10 +7,16 @@
 """
 
 import math
+import sys
 from collections import deque
 from typing import Any, NamedTuple
 
-from petrellane.decisions.actions import CounterAdd
+from petrellane.decisions.actions import (
+    MAX_COUNTER_AMOUNT,
+    MAX_COUNTER_TTL,
+    MIN_COUNTER_TTL,
+    CounterAdd,
+)
 from petrellane.decisions.endpoint_health import SAMPLE_LIFETIME
 from petrellane.decisions.numeric import mean, stable_hash
 from petrellane.decisions.types import Customer, Plan, Rpc
@@ -21,6 +27,8 @@
 LEASE_AHEAD = 0.25
 MIN_TOP_UP_SHARE = 0.1  # smallest share of the allowance worth a top-up when credit is short
 ESCROW_SHARE = 0.5  # maximum share of a hard limit's slack that is in escrow
+MIN_WINDOW_LENGTH = 0.001  # seconds; the counter's times are whole milliseconds
+MAX_WINDOW_LENGTH = 1e9  # seconds
 MAX_DEMAND_ENTRIES = 256  # last RPCs from which demand is estimated
 EXPORTED_DEMAND_ENTRIES = 32  # most recent of these RPCs, which the successor receives
 DEMAND_WINDOWS = 2  # windows over which demand is estimated
@@ -137,16 +145,17 @@
         self.apply_plan(now)
 
     def apply_plan(self, now: float) -> None:
-        """Apply the customer's plan, initially and when new settings change it."""
+        """Apply the customer's plan, initially and when new settings change it.
+
+        Until then, the lease goes by the plan that was applied before.
+        """
         plan = self.customer.plan
         self.plan: Plan = plan
-        self.hard_limit_escrow = ESCROW_SHARE * plan.hard_limit_slack * (self.fair_share < 1)
-        self.next_window_parameters = NO_QUOTA
-        if plan.rate:
-            length = WINDOW_FILLS * plan.burst / plan.rate
-            phase = stable_hash(self.customer.name) / 2**63 * length
-            self.next_window_parameters = WindowParameters(length, plan.rate * length, phase)
-        else:
+        self.hard_limit_escrow = 0.0
+        if plan.hard_limit_rate and self.fair_share < 1:
+            self.hard_limit_escrow = min(ESCROW_SHARE * plan.hard_limit_slack, MAX_COUNTER_AMOUNT)
+        self.next_window_parameters = _window_parameters(self.customer)
+        if self.next_window_parameters is NO_QUOTA:
             self.window_end = now
         if now < self.window_end:
             # The current window keeps its length until it ends, because another window that starts
@@ -154,7 +163,7 @@
             before = self.allowance
             self.exhausted_until = 0.0
             self.allowance = min(max(before, plan.burst), plan.rate * self.window_length)
-            self.available *= min(1.0, self.allowance / before)
+            self.available *= min(1.0, self.allowance / before) if before else 0.0
 
     def enter_window(self, now: float) -> None:
         """Enter the window that contains `now`; the credit of an older window expires."""
@@ -177,13 +186,20 @@
         self.carryover = None
         self.may_use_fair_share = True
 
+    def count_ttl(self, windows: float) -> float:
+        """Return the seconds for which the counter keeps a count, for a number of windows.
+
+        Without a quota, a window has no end, and the counter keeps the count as long as it can.
+        """
+        return max(MIN_COUNTER_TTL, min(MAX_COUNTER_TTL, windows * self.window_length))
+
     def previous_window(self) -> int | None:
         """Return the number of the previous window; None if windows have no end."""
         return None if self.window is None else self.window - 1
 
     def is_busy(self) -> bool:
         """Return whether the window's total exceeds this gateway's hard limit refill per window."""
-        rate = self.customer.plan.hard_limit_rate
+        rate = self.plan.hard_limit_rate
         return self.ledger_total > rate * self.fair_share * self.window_length
 
     def grant_fair_share(self, now: float, units: float, *, is_unreachable: bool) -> None:
@@ -192,13 +208,16 @@
         If the counter is unreachable, the share is at least this gateway's part of the previous
         window's total, because a customer may reach only few of its gateways. A grant smaller than
         the needed units would be unusable. The lease raises it to cover them, but at most once in
-        the time in which the fair share accrues that many units.
+        the time in which the fair share accrues that many units. Without a quota, which needs no
+        grants, this does nothing.
 
         Args:
             now: The time.
             units: The units that are needed now; 0 to grant no more than the share.
             is_unreachable: Whether the counter is unreachable, and not only degraded.
         """
+        if self.allowance == math.inf:
+            return
         share = max(self.fair_share, self.last_share) if is_unreachable else self.fair_share
         extra = 0.0
         if self.may_use_fair_share:
@@ -206,7 +225,8 @@
         is_single_due = now >= self.next_single_at and self.granted < units
         if self.may_use_fair_share and self.available + extra < units and is_single_due:
             extra = units - self.available
-            self.next_single_at = now + units / (self.fair_share * self.customer.plan.rate)
+            rate = max(self.fair_share * self.plan.rate, sys.float_info.min)
+            self.next_single_at = now + units / rate
         self.available = self.available + extra
         self.granted = self.granted + extra
         self.unreported = self.unreported + extra
@@ -217,8 +237,10 @@
         A customer may exceed the allowance as far as its burst permits: by the units left over from
         the previous window and by the units refilled since this window began.
         """
+        if self.allowance == math.inf:
+            return math.inf
         since_start = now - self.window_end + self.window_length
-        return max(self.allowance, carryover + self.customer.plan.rate * since_start)
+        return max(self.allowance, carryover + self.plan.rate * since_start)
 
     def target_units(self, now: float) -> float:
         """Return the units that the lease should hold: the expected demand with headroom.
@@ -256,13 +278,13 @@
             return
         self.may_use_fair_share = False
         self.next_single_at = max(self.next_single_at, self.window_end)
-        grown = (self.ledger_total + increment - carryover) / self.customer.plan.rate
+        grown = (self.ledger_total + increment - carryover) / self.plan.rate
         pause = min(self.window_length, max(0.0, grown))
         self.exhausted_until = self.window_end - self.window_length + pause
 
     def is_within_limits(self, now: float, units: float) -> bool:
         """Return whether the hard limit and the plan's maximum in flight permit an RPC."""
-        maximum = self.customer.plan.max_in_flight
+        maximum = self.plan.max_in_flight
         if self.refill_hard_limit(now) < units:
             return False
         return not maximum or self.in_flight < max(1, maximum * self.fair_share // 1)
@@ -287,7 +309,7 @@
         The shares leave out twice the maximum escrow, so that the hard limit still holds if the
         units of an escrow's count are granted twice.
         """
-        return (self.customer.plan.hard_limit_burst - 2 * self.hard_limit_escrow) * self.fair_share
+        return (self.plan.hard_limit_burst - 2 * self.hard_limit_escrow) * self.fair_share
 
     def has_escrow_pending(self) -> bool:
         """Return whether a request to the escrow, to lend or to borrow, awaits its reply."""
@@ -316,7 +338,7 @@
         """
         waiting = self.waiting_units() + sum(rpc.units for rpc in self.hard_limit_waiting)
         kept = float(min(self.refill_hard_limit(now), waiting))
-        if self.customer.plan.hard_limit_rate:
+        if self.plan.hard_limit_rate:
             self.hard_limit -= kept
         stored = {key: getattr(self, field) for key, field in STORED_FIELDS.items()}
         self.available = 0.0
@@ -333,3 +355,14 @@
         values = {field: stored[key] for key, field in STORED_FIELDS.items()}
         vars(self).update(values)
         self.demand.extend((at, units) for at, units in stored[STORED_DEMAND])
+
+
+def _window_parameters(customer: Customer) -> WindowParameters:
+    """Return the windows of the customer's plan; `NO_QUOTA` if it grants no quota."""
+    plan = customer.plan
+    if not plan.rate or plan.has_empty_quota:
+        return NO_QUOTA
+    refill_time = WINDOW_FILLS * plan.burst / plan.rate
+    length = max(MIN_WINDOW_LENGTH, min(MAX_WINDOW_LENGTH, refill_time))
+    phase = stable_hash(customer.name) / 2**63 * length
+    return WindowParameters(length, plan.rate * length, phase)
--- a/petrellane/decisions/types.py
+++ b/petrellane/decisions/types.py
@@ -153,6 +153,11 @@
     over_quota_weight: float = 0.0
     over_quota_cost: float = 0.0
 
+    @property
+    def has_empty_quota(self) -> bool:
+        """Whether there is a quota whose store holds nothing, so that it covers no RPC."""
+        return bool(self.rate) and not self.burst
+
 
 class ControllerSettings(TypedDict):
     """The settings that `AdmissionController` takes as keyword arguments, initially and on reload.
