Start a hard limit that a plan gets while in use empty, not far below zero

What callers saw: after new settings had given their plan a hard limit, customers were rejected until its rate had made up for all they had spent before; found by reading.

Cause: the controller deducts each RPC's units from the lease's share of the hard limit, also without one. The share is read again once the plan has a hard limit, and was below zero by all that was spent since the lease began.

Change: Lease.apply_plan empties the share of a new hard limit and lets it fill from then on; a share below zero that comes with a hot restart counts as empty.

--- a/petrellane/decisions/leases.py
+++ b/petrellane/decisions/leases.py
@@ -114,6 +114,7 @@
             hard_limit_from: The time from which the hard limit fills.
         """
         self.customer = customer
+        self.plan: Plan = customer.plan
         self.fair_share = 1 / max(1, customer.gateway_count)
         self.available = 0.0
         self.granted = 0.0
@@ -150,7 +151,11 @@
         Until then, the lease goes by the plan that was applied before.
         """
         plan = self.customer.plan
-        self.plan: Plan = plan
+        if plan.hard_limit_rate and not self.plan.hard_limit_rate:
+            # A new hard limit starts empty, and nothing that was spent before counts against it.
+            self.hard_limit = 0.0
+            self.hard_limit_filled_at = max(now, self.hard_limit_filled_at)
+        self.plan = plan
         self.hard_limit_escrow = 0.0
         if plan.hard_limit_rate and self.fair_share < 1:
             self.hard_limit_escrow = min(ESCROW_SHARE * plan.hard_limit_slack, MAX_COUNTER_AMOUNT)
@@ -354,6 +359,9 @@
         """
         values = {field: stored[key] for key, field in STORED_FIELDS.items()}
         vars(self).update(values)
+        if self.plan.hard_limit_rate:
+            # Below zero only if the plan had no hard limit there: nothing of that counts.
+            self.hard_limit = max(0.0, self.hard_limit)
         self.demand.extend((at, units) for at, units in stored[STORED_DEMAND])
 
 
