--- a/petrellane/config_consensus/staff_calls.py
+++ b/petrellane/config_consensus/staff_calls.py
@@ -165,7 +165,7 @@
         in_force = self._coordinator.in_force
         if not in_force:
             return
-        if in_force.number and not allow_missing_keys:
+        if not allow_missing_keys:
             check_no_key_removed(in_force.content, content, "settings")
         parse_settings(Section(safe_settings.meet(in_force.content, content), "settings"))
 
