Bind tests to addresses that no other process can take in between

What was seen: 'process exited before ready', '0 of 128 calls served' and a hot restart time-out beside load, and failures beside a process that takes and drops ports of 127.0.0.1.

Cause: free_address let an ephemeral port of 127.0.0.1 go before the gateway bound it, so that another process could take it, or a client reached that process. The step `down` of scenarios closed a listener and bound its port again. benchmarks/descriptors_peers.py did the same.

Change: unused addresses belong to a random loopback IP address, below the ephemeral range, as in petrellane.testbed.addresses (tests/loopback.py imports no program code). Peers of scenarios are bound to such a port by its number, so that `down` ends the listening and keeps the port. The memory sampler counts sockets by address and no longer by port alone, as ports of different IP addresses may be equal.

--- a/benchmarks/descriptors_peers.py
+++ b/benchmarks/descriptors_peers.py
@@ -2,18 +2,19 @@
 
 import asyncio
 import json
-import socket
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from petrellane.net import resp
 from petrellane.net.limits import Limits
+from petrellane.testbed.addresses import AddressPool, format_address
 from petrellane.testbed.endpoint_rows import EndpointRow, build_endpoint_row
 
 LIMITS = Limits(1 << 16, 1.0, 1.0, 64, 1.0)
 READ_BYTES = 1 << 16
 BACKLOG = 512
+LAST_PORT = 20_000  # addresses are given out above this port
 COUNTER_ANSWER = b"$1\r\n1\r\n"
 ENDPOINT_ANSWER = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"
 
@@ -28,11 +29,12 @@
     hosts: list[str]
 
 
+_addresses = AddressPool(LAST_PORT)
+
+
 def free_address() -> str:
-    """Return a loopback address that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address that nobody listens on, and that was not returned before."""
+    return format_address(_addresses.next_address())
 
 
 class Peers:
--- a/tests/integration/gateway/harness.py
+++ b/tests/integration/gateway/harness.py
@@ -23,13 +23,12 @@
 from petrellane.operation.hot_restart_transport import HotRestartTransport
 from tests.integration.gateway.configuration import Config, unescape
 from tests.integration.gateway.sockets import (
-    LOOPBACK,
     SMALL_BUFFER,
     FloodingSocket,
     Peer,
-    loopback_address,
     occupy_backlog,
 )
+from tests.loopback import address_text, free_address
 
 STEP_TIMEOUT_S = 20.0  # real time after which an expected event counts as missing
 BACKLOG = 64
@@ -106,14 +105,14 @@
 
     def listen(self, name: str, backlog: int = BACKLOG) -> str:
         """Open the listener of a peer and return its address."""
-        sock = socket.create_server((LOOPBACK, 0), backlog=backlog)
+        sock = socket.create_server(free_address(), backlog=backlog)
         sock.setblocking(False)
         if name == DEAF_LISTENER:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
         self.listeners[name] = sock
         if name == FULL_LISTENER:
             self.blockers += occupy_backlog(sock.getsockname(), BLOCKERS)
-        return loopback_address(sock)
+        return address_text(sock.getsockname())
 
     def until(self, description: str, condition: Callable[[], Found]) -> Found:
         """Run turns until a condition holds, and return its value."""
--- a/tests/integration/gateway/peer_steps.py
+++ b/tests/integration/gateway/peer_steps.py
@@ -2,15 +2,16 @@
 
 import json
 import random
+import socket
 from collections import Counter
 from types import SimpleNamespace
 
 from petrellane.gateway.endpoint_watch import EndpointWatch
-from petrellane.net.stream import open_listener
 from tests.integration.gateway.configuration import endpoint_row, unescape
 from tests.integration.gateway.harness import BACKLOG, BLOCKERS, FULL_LISTENER
 from tests.integration.gateway.race_steps import CLOCK_STEP_S, RaceSteps
-from tests.integration.gateway.sockets import Peer, loopback_address, occupy_backlog
+from tests.integration.gateway.sockets import Peer, occupy_backlog
+from tests.loopback import address_text
 
 UNUSED_ADDRESS = "127.1.{}.{}:1"  # one for each name, as two endpoints never share an address
 ADDRESSES_PER_NET = 250
@@ -42,11 +43,8 @@
     def do_down(self, name: str) -> None:
         """Take a peer down: reset its connections and refuse new ones."""
         listener = self.listeners.pop(name)
-        address = listener.getsockname()
-        listener.close()
-        if name in self.bound_sockets:
-            self.bound_sockets.pop(name).close()
-        self.bound_sockets[name] = open_listener(address, None)
+        listener.shutdown(socket.SHUT_RDWR)  # it keeps the port that it was bound to by its number
+        self.bound_sockets[name] = listener
         for peer in self.connections_to(name):
             peer.reset()
         self.fence()
@@ -149,7 +147,7 @@
     def address_of(self, name: str) -> str:
         """Return the address of a peer; an unused address if the peer is not up."""
         if name in self.listeners:
-            return loopback_address(self.listeners[name])
+            return address_text(self.listeners[name].getsockname())
         number = self.unused_addresses.setdefault(name, len(self.unused_addresses))
         return UNUSED_ADDRESS.format(number // ADDRESSES_PER_NET, 1 + number % ADDRESSES_PER_NET)
 
--- a/tests/integration/gateway/sockets.py
+++ b/tests/integration/gateway/sockets.py
@@ -8,7 +8,6 @@
 
 from petrellane.net.limits import Limits
 
-LOOPBACK = "127.0.0.1"
 RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"  # SO_LINGER: on, zero seconds
 READ_SIZE = 1 << 20
 SMALL_BUFFER = 4096  # bytes; the kernel rounds up
@@ -208,11 +207,6 @@
         return ready[::-1] if self.backward else ready
 
 
-def loopback_address(sock: socket.socket) -> str:
-    """Return the address of a socket bound on loopback, as HOST:PORT."""
-    return f"{LOOPBACK}:{sock.getsockname()[1]}"
-
-
 def occupy_backlog(address: tuple[str, int], number: int) -> list[socket.socket]:
     """Open connections that fill a listener's backlog, so that further ones never come up."""
     blockers = []
--- a/tests/integration/resources/gateway.py
+++ b/tests/integration/resources/gateway.py
@@ -18,7 +18,7 @@
 )
 from tests.integration.resources.endpoints import EndpointServer
 from tests.integration.resources.socket_memory import kernel_memory
-from tests.loopback import Address, address_text, free_address
+from tests.loopback import Address, address_text, free_address, parse_address
 
 MIB = 1 << 20
 KIB_PER_MIB = 1024
@@ -40,17 +40,17 @@
         peak_kernel_mib: The most that the kernel held for the sockets, in MiB.
     """
 
-    def __init__(self, pid: int, port: int, endpoint_ports: Iterable[int]) -> None:
+    def __init__(self, pid: int, address: Address, endpoints: Iterable[Address]) -> None:
         """Begin to sample.
 
         Args:
             pid: The process.
-            port: The port that it listens on for clients.
-            endpoint_ports: The ports that it connects to.
+            address: The address that it listens on for clients.
+            endpoints: The addresses that it connects to.
         """
         self.pid = pid
-        self.port = port
-        self.endpoint_ports = frozenset(endpoint_ports)
+        self.address = address
+        self.endpoints = frozenset(endpoints)
         self.peak_mib = 0.0
         self.peak_kernel_mib = 0.0
         self._is_stopped = threading.Event()
@@ -70,8 +70,8 @@
         self.peak_kernel_mib = max(self.peak_kernel_mib, kernel_mib)
         self.peak_mib = max(self.peak_mib, self.peak_resident_mib() + kernel_mib)
 
-    def _is_counted(self, local_port: int, remote_port: int) -> bool:
-        return local_port == self.port or remote_port in self.endpoint_ports
+    def _is_counted(self, local: Address, remote: Address) -> bool:
+        return local == self.address or remote in self.endpoints
 
     def peak_resident_mib(self) -> float:
         """Return the peak of resident memory since the start of the process, in MiB.
@@ -130,8 +130,8 @@
         self.log: list[dict[str, object]] = []
         self.faults = faults
         self.process = self._start(sockets)
-        endpoint_ports = [int(address.rpartition(":")[2]) for address in self.endpoints.addresses]
-        self.memory = MemorySampler(self.process.pid, self.address[1], endpoint_ports)
+        endpoints = map(parse_address, self.endpoints.addresses)
+        self.memory = MemorySampler(self.process.pid, self.address, endpoints)
 
     def _start(self, sockets: int) -> GatewayProcess:
         variables = {"PROXY_LISTEN_FD": "", "PROXY_LISTEN": address_text(self.address)}
--- a/tests/integration/resources/socket_memory.py
+++ b/tests/integration/resources/socket_memory.py
@@ -8,6 +8,8 @@
 import struct
 from collections.abc import Callable, Iterator
 
+from tests.loopback import Address
+
 NETLINK_SOCK_DIAG = 4
 SOCK_DIAG_BY_FAMILY = 20
 NLM_F_REQUEST = 0x1
@@ -19,7 +21,7 @@
 
 MESSAGE_HEADER = struct.Struct("=IHHII")  # length, type, flags, sequence number, port
 REQUEST = struct.Struct("=BBBxI48x")  # family, protocol, extensions, states, any address
-ADDRESSES = struct.Struct("!HH")  # the local and the remote port
+ADDRESSES = struct.Struct("!HH4s12x4s12x")  # the two ports, then the two IPv4 addresses
 ADDRESSES_OFFSET = 4  # within a reply
 REPLY_SIZE = 72  # before its attributes
 ATTRIBUTE_HEADER = struct.Struct("=HH")  # length, type
@@ -29,11 +31,11 @@
 ALIGNMENT = 4
 
 
-def kernel_memory(is_counted: Callable[[int, int], bool]) -> int:
+def kernel_memory(is_counted: Callable[[Address, Address], bool]) -> int:
     """Return the bytes that the kernel holds for the connections that are counted.
 
     Args:
-        is_counted: Tells by its local and its remote port whether a connection is counted.
+        is_counted: Tells by its local and its remote address whether a connection is counted.
     """
     total = 0
     with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, NETLINK_SOCK_DIAG) as sock:
@@ -47,7 +49,7 @@
         flags = NLM_F_REQUEST | NLM_F_DUMP
         sock.send(MESSAGE_HEADER.pack(size, SOCK_DIAG_BY_FAMILY, flags, 1, 0) + request)
         for message in _replies(sock):
-            if is_counted(*ADDRESSES.unpack_from(message, ADDRESSES_OFFSET)):
+            if is_counted(*_addresses(message)):
                 total += _socket_memory(message)
     return total
 
@@ -66,6 +68,13 @@
             data = data[_aligned(length) :]
 
 
+def _addresses(message: memoryview) -> tuple[Address, Address]:
+    """Return the local and the remote address of one socket."""
+    fields = ADDRESSES.unpack_from(message, ADDRESSES_OFFSET)
+    local_port, remote_port, local_ip, remote_ip = fields
+    return (socket.inet_ntoa(local_ip), local_port), (socket.inet_ntoa(remote_ip), remote_port)
+
+
 def _socket_memory(message: memoryview) -> int:
     """Return the bytes of one socket: receive queue, send queue, allocated ahead, and backlog."""
     attributes = message[REPLY_SIZE:]
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,13 +5,17 @@
 """
 
 import contextlib
+import itertools
 import os
 import pathlib
+import random
 import socket
 import threading
 from collections.abc import Callable
 
 HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+LAST_FIRST_PORT = 25_000  # leaves thousands of ports below the ephemeral range, from 32,768
 
 Address = tuple[str, int]
 
@@ -22,11 +26,39 @@
     return f"{host}:{port}"
 
 
+def parse_address(text: str) -> Address:
+    """Return the address that a text states as HOST:PORT."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class UnusedAddresses:
+    """Gives out loopback addresses that a process may bind later.
+
+    They belong to a random loopback IP address, and their ports lie below the kernel's ephemeral
+    range. An ephemeral port of 127.0.0.1 that is let go can be taken by any other process, or by a
+    socket that dials, before the process binds it. `petrellane.testbed.addresses` does the same.
+    """
+
+    def __init__(self) -> None:
+        source = random.SystemRandom()
+        self.ip = "127." + ".".join(str(source.randint(1, 250)) for _ in range(3))
+        self._ports = itertools.count(source.randint(FIRST_PORT, LAST_FIRST_PORT))
+
+    def next_address(self) -> Address:
+        """Return an address that nobody listens on and that was not given out before."""
+        while True:
+            address = self.ip, next(self._ports)
+            with contextlib.suppress(OSError), socket.create_server(address):
+                return address
+
+
+_unused_addresses = UnusedAddresses()
+
+
 def free_address() -> Address:
-    """Return a loopback address whose port is currently free."""
-    with socket.create_server((HOST, 0)) as probe:
-        address: Address = probe.getsockname()
-    return address
+    """Return an unused loopback address, which this process gives out only once."""
+    return _unused_addresses.next_address()
 
 
 def serve_connections(
