--- a/tests/integration/soak/run.py
+++ b/tests/integration/soak/run.py
@@ -35,6 +35,16 @@
 CLOCK_STEPS_S = [0.0, 3600.0, -3600.0, 5.0, -5.0]
 LEAVING_SHARE = 0.05  # of RPCs whose client closes early
 DIAL_TIMEOUT_S = 0.5
+GATEWAY_COUNTS = [1, 2]  # of a customer, as its client states it
+UNCHANGED_PLAN_SHARE = 0.3  # of SIGHUPs
+QUOTAS = [
+    {"quotaRate": rate, "storeSize": size}
+    for rate, size in ((0, 0), (0, 0), (4, 4), (100_000, 100_000), (20, 0))
+]
+HARD_LIMITS = [
+    {"ceilingRate": rate, "ceilingBurst": burst, "ceilingSlack": slack}
+    for rate, burst, slack in ((0, 0, 0), (4, 8, 2), (45, 117, 12), (0, 8, 2))
+]
 
 
 @dataclass
@@ -59,6 +69,7 @@
         self.run = run
         self.number = number
         self.random = random.Random(f"{run.seed} {number}")
+        self.gateway_count = random.Random(f"{run.seed} {number} gateways").choice(GATEWAY_COUNTS)
         self.sock: socket.socket | None = None
         self.calls = 0
 
@@ -88,7 +99,12 @@
         self.calls += 1
         self.run.methods[rpc] = method
         key = b",k=%b" % rpc if method == b"lodge" else b""
-        fields = b"c=%b,t=basic,d=%d,units=1,spread=1,first=0%b" % (method, timeout_s * 1e3, key)
+        fields = b"c=%b,t=basic,d=%d,units=1,spread=%d,first=0%b" % (
+            method,
+            timeout_s * 1e3,
+            self.gateway_count,
+            key,
+        )
         body = [b"x" * self.random.choice([10, 3000, 60_000])] if verb == b"SVC.SUBMIT" else []
         command = resp.encode_command(verb, b"%016x" % (self.number + 1), rpc, fields, *body)
         is_leaving = self.random.random() < LEAVING_SHARE
@@ -134,6 +150,7 @@
     def __init__(self, seed: int) -> None:
         self.seed = seed
         self.random = random.Random(seed)
+        self.plan_random = random.Random(f"{seed} plans")
         self.memory_mb, sockets = self.random.choice(LIMITS)
         faults = {
             "FAULTY_CALLS_SEED": str(seed),
@@ -210,6 +227,7 @@
                 crowd.close()
                 crowd = crowd.copy()
             if self.random.random() < 0.5:
+                self._change_plan()
                 process.send_signal(signal.SIGHUP)
         self._check_process()
         self.gateway.memory.sample()
@@ -227,6 +245,17 @@
         self.is_over.set()
         crowd.close()
 
+    def _change_plan(self) -> None:
+        """Give the plan in the configuration file other limits, or keep it as it is."""
+        if self.plan_random.random() < UNCHANGED_PLAN_SHARE:
+            return
+        quota = self.plan_random.choice(QUOTAS)
+        hard_limit = self.plan_random.choice(HARD_LIMITS)
+        deployment = self.gateway.deployment
+        row = {"name": "basic", "pays": 1.0} | quota | hard_limit
+        deployment.config["settings"]["contracts"] = [row]
+        deployment.write(deployment.config)
+
     def _check_process(self) -> None:
         if self.gateway.process.poll() is not None:
             self.findings.process.append("ended by itself")
