--- a/petrellane/decisions/hard_limits.py
+++ b/petrellane/decisions/hard_limits.py
@@ -106,8 +106,8 @@
     It lends at most half of the escrow's free space, and keeps the units that waiting RPCs need.
     Less than a portion is not worth a request.
     """
-    spare = level - lease.waiting_units()
-    units = min(spare, (lease.hard_limit_escrow - total) / 2, MAX_COUNTER_AMOUNT)
+    unneeded = level - lease.waiting_units()
+    units = min(unneeded, (lease.hard_limit_escrow - total) / 2, MAX_COUNTER_AMOUNT)
     if units < lease.hard_limit_escrow * lease.fair_share or not lease.hard_limit_escrow:
         return []
     lease.hard_limit -= units
--- a/petrellane/decisions/lease_manager.py
+++ b/petrellane/decisions/lease_manager.py
@@ -27,11 +27,15 @@
 from petrellane.decisions.leases import MIN_TOP_UP_SHARE, Lease
 from petrellane.decisions.numeric import stable_hash
 from petrellane.decisions.outcomes import PROVEN_NOT_RUN
+from petrellane.decisions.top_ups import (
+    apply_carryover,
+    grant_to_keep,
+    make_available,
+    restore_lost_count,
+)
 from petrellane.decisions.types import ERROR, OK, Customer, Outcome, Rpc
 
-RESERVE_SHARE = 0.3  # last share of a window's limit, which only waiting RPCs get
 COUNT_TTL_WINDOWS = 4  # windows for which the counter keeps a window's count
-LOST_COUNT_TOLERANCE = 0.5  # units by which rounding may lower a total below the lease's additions
 INITIAL_CLEAN_UP_SIZE = 100  # number of leases at which idle leases are first dropped
 EVICTION_DIVISOR = 8  # at the maximum, 1/8 of the leases is looked at for eviction at once
 
@@ -322,14 +326,14 @@
         """Keep the part of the added units that is within the limit, and return the excess."""
         lease = top_up.lease
         if not add.amount and not top_up.unreported:
-            _apply_carryover(now, lease, total)
+            apply_carryover(now, lease, total)
             return []
-        actions = _restore_lost_count(lease, add, total)
+        actions = restore_lost_count(lease, add, total)
         if actions:
             total = lease.reported
         requested = add.amount - top_up.unreported  # a fair share granted the rest
-        kept = _grant_to_keep(now, lease, requested, total)
-        _make_available(lease, kept, was_settled=was_settled)
+        kept = grant_to_keep(now, lease, requested, total)
+        make_available(lease, kept, was_settled=was_settled)
         lease.ledger_total = total - requested + kept
         if kept < requested:
             actions += self._return_excess(now, lease, add, requested - kept)
@@ -381,47 +385,3 @@
 def _deadline_timer(now: float, rpc: Rpc) -> SetTimer:
     """Return the timer that ends the wait of an RPC when its client gives up."""
     return SetTimer(max(0.0, rpc.deadline - now), rpc)
-
-
-def _apply_carryover(now: float, lease: Lease, total: float) -> None:
-    """Set the carryover from the total of the previous window."""
-    lease.carryover = max(0.0, lease.allowance - total)
-    lease.mark_exhausted(now)
-
-
-def _restore_lost_count(lease: Lease, add: CounterAdd, total: float) -> list[Action]:
-    """Return the request that adds lost units to the counter again, or an empty list.
-
-    The counter has lost units if its total is below the units that this gateway has added, by
-    more than the rounding tolerance. Units beyond `MAX_COUNTER_AMOUNT` follow with later replies.
-    """
-    if total < lease.reported - LOST_COUNT_TOLERANCE:
-        lost = min(lease.reported - total, MAX_COUNTER_AMOUNT)
-        return [CounterAdd(add.name, lost, lease.count_ttl(1))]
-    return []
-
-
-def _grant_to_keep(now: float, lease: Lease, requested: float, total: float) -> float:
-    """Return how many of the requested units to keep, given the total that includes them.
-
-    The last part of the limit is a reserve for waiting RPCs. Of the units within the limit, the
-    gateway keeps those that waiting RPCs lack or those outside the reserve, whichever is more.
-    """
-    limit = lease.limit(now, lease.carryover or 0.0)
-    within_limit = max(0.0, min(requested, limit - total + requested))
-    for_waiting = min(within_limit, lease.missing_units())
-    into_reserve = total - limit * (1 - RESERVE_SHARE)
-    outside_reserve = min(within_limit, within_limit - into_reserve)
-    return max(for_waiting, outside_reserve, 0.0)
-
-
-def _make_available(lease: Lease, kept: float, *, was_settled: bool) -> None:
-    """Make kept units available, except those that a fair share has already granted.
-
-    These are deducted from the lease's unreported units instead.
-    """
-    replaced = min(lease.unreported, kept) if was_settled else 0.0
-    new = kept - replaced
-    lease.available = lease.available + new
-    lease.granted = lease.granted + new
-    lease.unreported = lease.unreported - kept + new
--- a/petrellane/gateway/action_executor.py
+++ b/petrellane/gateway/action_executor.py
@@ -20,7 +20,6 @@
 from petrellane.decisions.action_dispatcher import ActionDispatcher
 from petrellane.decisions.controller import AdmissionController
 from petrellane.decisions.types import (
-    DEDUPLICATED,
     GONE,
     IDEMPOTENT,
     NEVER_SENT,
@@ -30,17 +29,11 @@
 )
 from petrellane.gateway import replies
 from petrellane.gateway.attempted_ids import AttemptedIds
-from petrellane.gateway.client_request import (
-    FIRST_GATEWAY_FIELD,
-    GATEWAY_COUNT_FIELD,
-    METHOD_FIELD,
-    PLAN_FIELD,
-    InvalidFieldError,
-)
 from petrellane.gateway.customers import Customers
 from petrellane.gateway.endpoint_updates import KnownEndpoints, endpoint_updates
 from petrellane.gateway.fault_recovery import FaultRecovery
 from petrellane.gateway.load_report import COST_METRIC, parse_load_report, pop_reported_usage
+from petrellane.gateway.request_validation import check_id, find_customer, find_method_and_plan
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -58,7 +51,7 @@
         WatchEndpoints,
         WriteLog,
     )
-    from petrellane.decisions.types import Customer, Endpoint, Method, Outcome, Plan
+    from petrellane.decisions.types import Endpoint, Outcome
     from petrellane.gateway.client_request import ClientRequest
     from petrellane.gateway.counter_client import CounterClient
     from petrellane.gateway.endpoint_connection import PendingAttempt
@@ -224,9 +217,11 @@
             self.counts["pushed memory"] += 1
             request.finish(replies.BUSY)
             return
-        method, plan = self._method_and_plan(request)
-        units = request.units(self.settings.max_units)
-        customer = self._customer(request, plan, now)
+        settings = self.settings
+        method, plan = find_method_and_plan(request, settings)
+        check_id(request, method, self.requests_by_id, self.attempted_ids)
+        units = request.units(settings.max_units)
+        customer = find_customer(request, plan, self.customers, settings.gateway_count, now)
         # The request may have arrived while this process was stalled.
         arrived_at = self.scheduler.earliest_arrival()
         timeout = min(request.timeout, method.deadline)
@@ -245,32 +240,6 @@
         self.counts["rpcs"] += 1
         self._notify_controller(rpc, self.controller.admit, now, rpc)
 
-    def _method_and_plan(self, request: ClientRequest) -> tuple[Method, Plan]:
-        """Validate the fields of a request; return its method and plan from the settings."""
-        method = self.settings.methods.get(request.require_field(METHOD_FIELD))
-        plan = self.settings.plans.get(request.require_field(PLAN_FIELD))
-        if method is None:
-            raise InvalidFieldError(f"{METHOD_FIELD}: no such method")
-        if plan is None:
-            raise InvalidFieldError(f"{PLAN_FIELD}: no such plan")
-        if request.is_query != (method.effect == IDEMPOTENT):
-            raise InvalidFieldError(f"{METHOD_FIELD}: its method takes the other command")
-        if method.effect == DEDUPLICATED:
-            request.require_idempotency_key()
-        if request.id in self.requests_by_id:
-            raise InvalidFieldError("id: its RPC is open")
-        if method.effect != IDEMPOTENT and request.id in self.attempted_ids:
-            raise InvalidFieldError("id: its RPC may have run")
-        return method, plan
-
-    def _customer(self, request: ClientRequest, plan: Plan, now: float) -> Customer:
-        """Return the customer of a request."""
-        gateways = self.settings.gateway_count
-        first_gateway = request.integer_field(FIRST_GATEWAY_FIELD, 0, 0, gateways - 1)
-        gateway_count = request.integer_field(GATEWAY_COUNT_FIELD, 1, 1, gateways)
-        name = request.customer.decode()
-        return self.customers.get_or_create(name, plan, first_gateway, gateway_count, now)
-
     def _notify_controller(
         self, rpc: Rpc, call: Callable[..., Iterable[Action]], *args: object, **kwargs: object
     ) -> None:
