Note where an attempt ends before it is written, so that its outcome is true of it

Need: with FaultRecovery a connection may end while an exception comes out of a write. Until the write had returned, an attempt had no end_offset and ended unreachable, proven not to have run, although its bytes may all have been sent.

Change: end_offset is set from the length of the command before the write, as the counter client does it. Outcomes of writes that return are the same.

--- a/petrellane/gateway/endpoint_connection.py
+++ b/petrellane/gateway/endpoint_connection.py
@@ -198,12 +198,11 @@
                 partial(pools.check_transfer, pending),
             )
         pending.connection = self
-        pending.end_offset = None
         command = pending.request.encode(time_left)  # before anything waits for its reply
+        pending.end_offset = self.stream.bytes_queued + sum(map(len, command))
         self.in_flight.append(pending)
         self.stream.write_deadline = pending.attempt.send_by
         self.stream.write(*command)
-        pending.end_offset = self.stream.bytes_queued
 
     def can_pipeline(self) -> bool:
         """Return whether another attempt may be written behind those in flight.
